--- /dev/null
+++ b/src/app/frontend.hpp
@@ -0,0 +1,63 @@
+// Users' requests, carried out on the state service. The same code runs on the leader and, when the leader does
+// not answer, on any other controller.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/model.hpp"
+#include "core/records.hpp"
+#include "net/http_server.hpp"
+#include "net/loop.hpp"
+#include "store/state_client.hpp"
+
+namespace dockdyke::app {
+
+net::HttpResponse answer(int status, const wire::Json& body);
+net::HttpResponse come_back();
+
+class Frontend {
+ public:
+  struct Listener {
+    std::function<void(const core::JobRecord&, Revision)> on_submitted;
+    std::function<void(const JobId&)> on_cancelled;
+  };
+
+  Frontend(net::Loop& loop, store::StateClient& state, const core::Config& config, Listener listener);
+
+  void set_types(std::vector<wire::MachineType> types) { types_ = std::move(types); }
+  bool types_known() const { return !types_.empty(); }
+
+  // Nothing: the submission is sound as far as it can be told without the store. Else the answer to give.
+  std::optional<net::HttpResponse> refusal(const std::string& body) const;
+  net::Task<net::HttpResponse> submit(std::string body);
+  net::Task<net::HttpResponse> poll(JobId id);
+  net::Task<net::HttpResponse> cancel(JobId id);
+
+ private:
+  struct Found {
+    store::Outcome outcome = store::Outcome::unknown;  // ok, missing, or anything else for "can't tell"
+    wire::JobStatus status;
+    std::optional<core::JobRecord> open;
+    Revision version;
+  };
+  net::Task<Found> find(JobId id, net::TimePoint deadline);
+  net::Task<net::HttpResponse> commit_submission(wire::JobSpec spec);
+  bool can_ever_run(const wire::JobSpec& spec) const;
+  void remember(const JobId& id, const wire::JobStatus& status);
+
+  net::Loop& loop_;
+  store::StateClient& state_;
+  const core::Config& config_;
+  Listener listener_;
+  std::vector<wire::MachineType> types_;
+  std::size_t submitting_ = 0;
+  std::unordered_map<JobId, wire::JobStatus> finals_;
+  std::deque<JobId> finals_order_;
+};
+
+}  // namespace dockdyke::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,59 @@
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+
+#include "app/logging.hpp"
+#include "app/node.hpp"
+#include "app/settings.hpp"
+#include "constants.hpp"
+#include "net/http_client.hpp"
+#include "net/loop.hpp"
+
+namespace {
+
+constexpr int kBadSettings = 2;  // exit status that tells a wrong start from a crash
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using namespace dockdyke;
+  CLI::App program("dockdyke schedules the jobs of a deployment onto machines rented from a cloud.\n"
+                   "LOG_LEVEL sets the detail of the log on standard error: error (default), info or debug.");
+  program.set_version_flag("--version", "dockdyke " DOCKDYKE_VERSION);
+  std::string config;
+  std::uint32_t min_machines = limits::kMinMachines;
+  std::uint32_t free_machines = limits::kFreeMachines;
+  std::uint32_t max_machines = limits::kMaxMachines;
+  program.add_option("--config", config, "The platform's settings file (JSON)")->required();
+  program.add_option("--min-machines", min_machines, "Machines kept at the least")
+      ->envname("DOCKDYKE_MIN_MACHINES")->capture_default_str();
+  program.add_option("--free-machines", free_machines, "Free machines kept ready for bursts")
+      ->envname("DOCKDYKE_FREE_MACHINES")->capture_default_str();
+  program.add_option("--max-machines", max_machines, "Machines rented at the most")
+      ->envname("DOCKDYKE_MAX_MACHINES")->capture_default_str();
+  CLI11_PARSE(program, argc, argv);
+
+  const char* level = std::getenv("LOG_LEVEL");
+  if (!app::start_logging(level ? level : "error"))
+    std::cerr << "LOG_LEVEL: unknown level, using error\n";
+  std::signal(SIGPIPE, SIG_IGN);
+  try {
+    auto settings = app::load_settings(config);
+    settings.cluster.min_machines = min_machines;
+    settings.cluster.free_machines = free_machines;
+    settings.cluster.max_machines = max_machines;
+    net::Loop loop;
+    net::HttpClient client(loop);
+    app::Node node(loop, client, std::move(settings));
+    node.start();
+    loop.run();
+  } catch (const app::SettingsError& error) {
+    std::cerr << "dockdyke: " << error.what() << '\n';
+    return kBadSettings;
+  } catch (const std::exception& error) {
+    std::cerr << "dockdyke: " << error.what() << '\n';
+    return EXIT_FAILURE;
+  }
+}
--- /dev/null
+++ b/src/app/node.cpp
@@ -0,0 +1,247 @@
+#include "app/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace dockdyke::app {
+
+using net::HttpMessage;
+using net::HttpResponse;
+namespace path = wire::path;
+
+Node::Node(net::Loop& loop, net::Transport& transport, Settings settings)
+    : loop_(loop),
+      transport_(transport),
+      settings_(std::move(settings)),
+      state_(loop, transport, settings_.state, {settings_.state_rps, settings_.state_write_rps}),
+      cloud_(loop, transport, settings_.cloud, settings_.cluster.cloud_rps),
+      frontend_(loop, state_, settings_.cluster,
+                {[this](const core::JobRecord& record, Revision version) {
+                   if (term_) term_->push(core::JobSubmitted{record, version});
+                 },
+                 [this](const JobId& id) {
+                   if (term_) term_->push(core::JobOffRecord{id});
+                 }}),
+      election_(loop, state_, settings_.host,
+                {[this](std::optional<std::string> host) { leader_ = std::move(host); },
+                 [this](store::Leadership leadership, net::TimePoint asked_at) {
+                   leader_ = settings_.host;
+                   term_ = std::make_shared<Term>(Term::Services{loop_, state_, cloud_}, settings_.cluster, leadership,
+                                                  asked_at, [this] { election_.step_down(); });
+                   set_share();
+                   term_->start(types_);
+                 },
+                 [this](net::TimePoint asked_at) {
+                   if (term_) term_->renewed(asked_at);
+                 },
+                 [this] {
+                   if (term_) term_->end();
+                   term_.reset();
+                   leader_.reset();
+                   set_share();
+                   spdlog::info("event=stepped_down");
+                 }}) {
+  set_share();
+}
+
+void Node::set_share() {
+  const auto others = static_cast<double>(settings_.siblings.size());
+  if (others == 0) {
+    state_.set_share(limits::kLeaderShare + limits::kFollowersShare);
+  } else {
+    state_.set_share(term_ ? limits::kLeaderShare : limits::kFollowersShare / others);
+  }
+}
+
+void Node::start(bool serve) {
+  if (serve) {
+    const auto limit = settings_.connections;
+    const auto room = limit > 2 * limits::kReservedSockets ? limit - limits::kReservedSockets : limit / 2;
+    public_server_ = std::make_unique<net::HttpServer>(loop_, settings_.public_address, room,
+                                                       [this](HttpMessage request) { return handle_public(std::move(request)); });
+    internal_server_ = std::make_unique<net::HttpServer>(
+        loop_, settings_.internal_address, limits::kReservedSockets / 2,
+        [this](HttpMessage request) { return handle_internal(std::move(request)); });
+    public_server_->start();
+    internal_server_->start();
+  }
+  net::spawn(election_.run());
+  net::spawn(keep_types());
+  net::spawn(keep_company());
+}
+
+// ---- Machine types ----------------------------------------------------------------------------------------
+
+void Node::use_types(std::vector<wire::MachineType> types) {
+  types_ = std::move(types);
+  frontend_.set_types(types_);
+  if (term_) term_->push(core::TypesChanged{types_});
+}
+
+net::Task<void> Node::keep_types() {
+  bool recorded = false;
+  for (;;) {
+    cloud::Result<std::vector<wire::MachineType>> types = co_await cloud_.machine_types();
+    if (types && !types.value.empty()) {
+      use_types(std::move(types.value));
+      if (term_ && !recorded) {
+        // Kept so that a controller that restarts while the cloud is out can still decide on submissions.
+        wire::Transaction txn;
+        txn.puts.push_back({core::key::kMachineTypes, wire::to_json(types_), {}});
+        store::Result<store::Committed> committed = co_await state_.commit(
+            std::move(txn), store::Urgency::background, loop_.now() + net::seconds(limits::kBackgroundPatience));
+        recorded = committed.outcome == store::Outcome::ok;
+      }
+    } else if (types_.empty()) {
+      store::Result<wire::KeyValue> known = co_await state_.get(
+          core::key::kMachineTypes, loop_.now() + net::seconds(limits::kStateTimeout));
+      if (known) {
+        try {
+          use_types(wire::parse_machine_types(known.value.value));
+        } catch (const wire::Malformed& error) {
+          spdlog::error("event=bad_record key=types what=\"{}\"", error.what());
+        }
+      }
+    }
+    const bool soon = types_.empty() || (term_ && !recorded);
+    co_await loop_.sleep(net::seconds(soon ? limits::kFlavorsRetry : limits::kFlavorsEvery));
+  }
+}
+
+// ---- The other controllers --------------------------------------------------------------------------------
+
+net::Task<void> Node::keep_company() {
+  for (;;) {
+    co_await loop_.sleep(net::seconds(limits::kPeerAskEvery));
+    if (!state_.suspect()) {
+      others_reach_state_ = false;
+      continue;
+    }
+    // The store does not answer us. Whether it answers the others shows if this is an outage or only ours.
+    bool reached = false;
+    for (const auto& sibling : settings_.siblings) {
+      const std::optional<peer::Standing> standing = co_await peer::ask_standing(transport_, sibling.address);
+      if (!standing) continue;
+      reached = reached || standing->state_answers;
+      if (!standing->leading) continue;
+      if (term_ && standing->token > term_->token().value) {
+        spdlog::info("event=newer_leader host={} token={}", sibling.host, standing->token);
+        election_.step_down();
+      }
+      if (!term_) leader_ = sibling.host;
+    }
+    others_reach_state_ = reached;
+  }
+}
+
+net::Task<std::optional<HttpResponse>> Node::try_leader(peer::Forwarded request) {
+  if (term_ || !leader_) co_return std::nullopt;
+  auto sibling = std::find_if(settings_.siblings.begin(), settings_.siblings.end(),
+                              [&](const Sibling& each) { return each.host == *leader_; });
+  if (sibling == settings_.siblings.end()) co_return std::nullopt;
+  const net::Address address = sibling->address;
+  std::optional<HttpResponse> response = co_await peer::forward(transport_, address, std::move(request));
+  co_return response;
+}
+
+net::Task<HttpResponse> Node::handle_internal(HttpMessage request) {
+  if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
+  if (request.path() == peer::kStandingPath) {
+    co_return HttpResponse{
+        200, peer::encode(peer::Standing{leading(), term_ ? term_->token().value : 0, !state_.suspect()}), std::nullopt};
+  }
+  if (request.path() != peer::kForwardPath) co_return HttpResponse{404, {}, std::nullopt};
+  auto forwarded = peer::decode_forwarded(request.body);
+  if (!forwarded) co_return HttpResponse{400, {}, std::nullopt};
+  if (!term_) co_return HttpResponse{200, peer::encode(peer::ForwardAnswer{}), std::nullopt};
+  HttpResponse response;
+  if (forwarded->kind == peer::RequestKind::submit) {
+    response = co_await frontend_.submit(std::move(forwarded->body));
+  } else {
+    response = co_await frontend_.cancel(JobId(std::move(forwarded->job)));
+  }
+  co_return HttpResponse{200, peer::encode(peer::to_answer(response)), std::nullopt};
+}
+
+// ---- Users and workers ------------------------------------------------------------------------------------
+
+bool Node::healthy() const {
+  // In an outage for all, this node is as good as any; when the store refuses this node alone, the others serve.
+  return frontend_.types_known() && !(state_.suspect() && others_reach_state_);
+}
+
+net::Task<HttpResponse> Node::handle_public(HttpMessage request) {
+  const auto target = request.path();
+  if (target == path::kHealth) {
+    if (request.method != "GET") co_return HttpResponse{405, {}, std::nullopt};
+    co_return healthy() ? HttpResponse{} : come_back();
+  }
+  if (target == path::kReport) {
+    if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
+    HttpResponse response = co_await handle_report(request);
+    co_return response;
+  }
+  if (target == path::kJobs || target.starts_with(std::string(path::kJobs) + "/")) {
+    HttpResponse response = co_await handle_job_request(request);
+    co_return response;
+  }
+  co_return HttpResponse{404, {}, std::nullopt};
+}
+
+net::Task<HttpResponse> Node::handle_job_request(const HttpMessage& request) {
+  auto rest = request.path().substr(path::kJobs.size());
+  if (rest.empty()) {
+    if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
+    auto refused = frontend_.refusal(request.body);
+    if (refused) co_return *std::move(refused);
+    peer::Forwarded forwarded;
+    forwarded.body = request.body;
+    std::optional<HttpResponse> led = co_await try_leader(std::move(forwarded));
+    if (led) co_return *std::move(led);
+    HttpResponse response = co_await frontend_.submit(request.body);
+    co_return response;
+  }
+  rest.remove_prefix(1);
+  const bool cancelling = rest.ends_with(path::kCancel);
+  if (cancelling) rest.remove_suffix(path::kCancel.size());
+  if (!wire::is_job_id(rest)) co_return HttpResponse{404, {}, std::nullopt};
+  if (request.method != (cancelling ? "POST" : "GET")) co_return HttpResponse{405, {}, std::nullopt};
+  const JobId id{std::string(rest)};
+  if (!cancelling) {
+    HttpResponse response = co_await frontend_.poll(id);
+    co_return response;
+  }
+  peer::Forwarded forwarded;
+  forwarded.kind = peer::RequestKind::cancel;
+  forwarded.job = id.value;
+  std::optional<HttpResponse> led = co_await try_leader(std::move(forwarded));
+  if (led) co_return *std::move(led);
+  HttpResponse response = co_await frontend_.cancel(id);
+  co_return response;
+}
+
+net::Task<HttpResponse> Node::handle_report(const HttpMessage& request) {
+  std::optional<wire::Report> report;
+  if (auto body = wire::decode(request.body)) {
+    try {
+      report = wire::parse_report(*body);
+    } catch (const wire::Malformed& error) {
+      spdlog::debug("event=bad_report what=\"{}\"", error.what());
+    }
+  }
+  if (!report) co_return HttpResponse{400, {}, std::nullopt};
+  if (!term_) {
+    if (leader_ && *leader_ != settings_.host) co_return answer(421, wire::redirect_answer(*leader_));
+    co_return answer(421, wire::Json::object());
+  }
+  const auto term = term_;
+  HttpResponse response = co_await term->report(*std::move(report));
+  co_return response;
+}
+
+}  // namespace dockdyke::app
--- /dev/null
+++ b/src/app/node.hpp
@@ -0,0 +1,59 @@
+// One controller: its servers, its part in the election, and the term it holds while it leads.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "app/frontend.hpp"
+#include "app/settings.hpp"
+#include "app/term.hpp"
+#include "cloud/cloud_client.hpp"
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/loop.hpp"
+#include "peer/peer.hpp"
+#include "store/election.hpp"
+#include "store/state_client.hpp"
+
+namespace dockdyke::app {
+
+class Node {
+ public:
+  Node(net::Loop& loop, net::Transport& transport, Settings settings);
+
+  // Starts the loops and, unless a test calls the handlers itself, the servers.
+  void start(bool serve = true);
+
+  net::Task<net::HttpResponse> handle_public(net::HttpMessage request);
+  net::Task<net::HttpResponse> handle_internal(net::HttpMessage request);
+  bool leading() const { return term_ != nullptr; }
+  const std::optional<std::string>& leader() const { return leader_; }
+
+ private:
+  net::Task<net::HttpResponse> handle_job_request(const net::HttpMessage& request);
+  net::Task<net::HttpResponse> handle_report(const net::HttpMessage& request);
+  net::Task<std::optional<net::HttpResponse>> try_leader(peer::Forwarded request);
+  net::Task<void> keep_types();
+  net::Task<void> keep_company();
+  void use_types(std::vector<wire::MachineType> types);
+  void set_share();
+  bool healthy() const;
+
+  net::Loop& loop_;
+  net::Transport& transport_;
+  Settings settings_;
+  store::StateClient state_;
+  cloud::CloudClient cloud_;
+  Frontend frontend_;
+  store::Election election_;
+  std::shared_ptr<Term> term_;
+  std::optional<std::string> leader_;
+  std::vector<wire::MachineType> types_;
+  bool others_reach_state_ = false;
+  std::unique_ptr<net::HttpServer> public_server_;
+  std::unique_ptr<net::HttpServer> internal_server_;
+};
+
+}  // namespace dockdyke::app
--- /dev/null
+++ b/src/app/settings.cpp
@@ -0,0 +1,139 @@
+#include "app/settings.hpp"
+
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "constants.hpp"
+
+namespace dockdyke::app {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// One map of the file, with its path for messages.
+class Section {
+ public:
+  Section(const Json& value, std::string path) : value_(value), path_(std::move(path)) {
+    if (!value_.is_object()) fail(path_.empty() ? "the file" : path_, "must be a map");
+  }
+
+  Section section(const char* field) const { return Section(require(field), name(field)); }
+
+  std::string text(const char* field) const {
+    const auto& value = require(field);
+    if (!value.is_string() || value.get_ref<const std::string&>().empty()) fail(name(field), "must be a text");
+    return value.get<std::string>();
+  }
+
+  net::Address address(const char* field) const {
+    auto parsed = net::Address::parse(text(field));
+    if (!parsed) fail(name(field), "must be an IPv4 address with a port");
+    return *parsed;
+  }
+
+  double positive(const char* field) const {
+    const double number = amount(field, require(field));
+    if (number <= 0) fail(name(field), "must be greater than 0");
+    return number;
+  }
+
+  double amount_or_none(const char* field) const {
+    auto found = value_.find(field);
+    return found == value_.end() || found->is_null() ? 0 : amount(field, *found);
+  }
+
+  // Empty where the list is absent.
+  std::vector<Section> sections(const char* field, bool required) const {
+    std::vector<Section> out;
+    auto found = value_.find(field);
+    if (found == value_.end() || found->is_null()) {
+      if (required) fail(name(field), "is missing");
+      return out;
+    }
+    if (!found->is_array()) fail(name(field), "must be a list");
+    for (std::size_t i = 0; i < found->size(); ++i)
+      out.emplace_back((*found)[i], name(field) + "[" + std::to_string(i) + "]");
+    return out;
+  }
+
+ private:
+  [[noreturn]] static void fail(const std::string& field, const std::string& what) {
+    throw SettingsError("settings: " + field + " " + what);
+  }
+  std::string name(const char* field) const { return path_.empty() ? field : path_ + "." + field; }
+  const Json& require(const char* field) const {
+    auto found = value_.find(field);
+    if (found == value_.end() || found->is_null()) fail(name(field), "is missing");
+    return *found;
+  }
+  double amount(const char* field, const Json& value) const {
+    if (!value.is_number() || !std::isfinite(value.get<double>()) || value.get<double>() < 0)
+      fail(name(field), "must be a number that is not negative");
+    return value.get<double>();
+  }
+
+  const Json& value_;
+  std::string path_;
+};
+
+}  // namespace
+
+Settings parse_settings(const std::string& text) {
+  const auto file = Json::parse(text, nullptr, false);
+  if (file.is_discarded()) throw SettingsError("settings: the file is not JSON");
+  const Section root(file, "");
+  Settings out;
+  out.host = root.text("host_name");
+  out.public_address = root.address("public_addr");
+  out.internal_address = root.address("internal_addr");
+  const auto services = root.section("services");
+  out.cloud = services.address("cloud");
+  out.state = services.address("state");
+  for (const auto& each : root.sections("siblings", true))
+    out.siblings.push_back({each.text("host_name"), each.address("addr")});
+
+  const auto settings = root.section("settings");
+  for (const auto& each : settings.sections("teams", true)) {
+    core::Team team;
+    team.name = each.text("name");
+    team.guarantee = {each.amount_or_none("cpus"), each.amount_or_none("gpus"), 0};
+    team.limit = {each.amount_or_none("cpus_max"), each.amount_or_none("gpus_max"), 0};
+    out.cluster.teams.push_back(std::move(team));
+  }
+  for (const auto& each : settings.sections("objectives", false))
+    if (const double within = each.amount_or_none("within_s"); within > 0)
+      out.cluster.objectives.push_back({each.text("class"), within});
+  const auto workers = settings.section("workers");
+  out.cluster.report_s = workers.positive("report_s");
+  out.cluster.lease_s = workers.positive("lease_s");
+  out.cluster.cancel_s = workers.positive("cancel_s");
+  const auto state = settings.section("state");
+  out.state_rps = state.positive("rps");
+  out.state_write_rps = state.positive("write_rps");
+  out.cluster.value_bytes = static_cast<std::size_t>(state.positive("value_kb") * 1024);
+  out.cluster.txn_ops = static_cast<std::size_t>(std::max(3.0, state.positive("txn_ops")));
+  const auto cloud = settings.section("cloud");
+  out.cluster.cloud_rps = cloud.positive("rps");
+  out.cluster.list_lag_s = cloud.amount_or_none("list_lag_s");
+  const auto resources = settings.section("resources");
+  out.connections = static_cast<std::size_t>(resources.positive("fd_limit"));
+  out.cluster.min_machines = limits::kMinMachines;
+  out.cluster.free_machines = limits::kFreeMachines;
+  out.cluster.max_machines = limits::kMaxMachines;
+  return out;
+}
+
+Settings load_settings(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  if (!in) throw SettingsError("settings: can't read " + file);
+  std::string text(limits::kMaxSettings + 1, '\0');
+  in.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(in.gcount()));
+  if (text.size() > limits::kMaxSettings) throw SettingsError("settings: the file is too large");
+  return parse_settings(text);
+}
+
+}  // namespace dockdyke::app
--- /dev/null
+++ b/src/app/term.hpp
@@ -0,0 +1,84 @@
+// One leadership: the owner of the cluster's state, its queue of commands, and the calls its effects need.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cloud/cloud_client.hpp"
+#include "core/cluster.hpp"
+#include "net/http_server.hpp"
+#include "net/loop.hpp"
+#include "store/election.hpp"
+#include "store/state_client.hpp"
+
+namespace dockdyke::app {
+
+class Term : public std::enable_shared_from_this<Term> {
+ public:
+  struct Services {
+    net::Loop& loop;
+    store::StateClient& state;
+    cloud::CloudClient& cloud;
+  };
+
+  Term(Services services, const core::Config& config, store::Leadership leadership, net::TimePoint asked_at,
+       std::function<void()> on_overtaken);
+
+  void start(const std::vector<wire::MachineType>& types);
+  // Nothing of this term goes on after its present call.
+  void end();
+
+  Token token() const { return cluster_.token(); }
+  void renewed(net::TimePoint asked_at) { renewed_at_ = std::max(renewed_at_, asked_at); }
+  void push(core::Command command);
+  net::Task<net::HttpResponse> report(wire::Report report);
+
+ private:
+  using Self = std::shared_ptr<Term>;
+  struct WaitingReport {
+    wire::Report report;
+    net::OneShot<core::ReportFate> fate;
+  };
+
+  // Every loop takes a share of the term, so that the state outlives its last call.
+  static net::Task<void> own(Self self);
+  static net::Task<void> load(Self self);
+  static net::Task<void> watch(Self self);
+  static net::Task<void> read_machines(Self self);
+  static net::Task<void> keep_time(Self self);
+  static net::Task<void> save(Self self, core::Save save);
+  // Reads the job's open record again after a write that failed or was not answered (0: no write of ours).
+  static net::Task<void> reread(Self self, JobId id, std::uint64_t save);
+  static net::Task<void> carry_out(Self self, core::Rent effect);
+  static net::Task<void> carry_out(Self self, core::GiveBack effect);
+  static net::Task<void> carry_out(Self self, core::Discard effect);
+
+  net::Task<bool> load_once();
+  net::Task<bool> load_jobs(const std::string& prefix, bool lingering, Revision* revision);
+  // Writes under the leader's guard until it is done; false when the term has ended.
+  net::Task<bool> write_guarded(wire::Transaction transaction, store::Urgency urgency);
+  net::Task<bool> record(const std::string& key, const wire::Json& value);
+  void start_saves();
+  void overtaken();
+  wire::Guard leader_guard() const;
+  core::Time now() const;
+  double staleness() const;
+
+  Services services_;
+  const core::Config& config_;
+  core::Cluster cluster_;
+  std::function<void()> on_overtaken_;
+  bool alive_ = true;
+  net::Bell work_;
+  std::vector<core::Command> commands_;
+  std::vector<WaitingReport> reports_;
+  std::vector<net::OneShot<bool>> waiting_for_saves_;
+  std::size_t saving_ = 0;
+  Revision watch_from_;
+  net::TimePoint renewed_at_;
+  net::TimePoint watched_at_;
+};
+
+}  // namespace dockdyke::app
--- /dev/null
+++ b/src/constants.hpp
@@ -0,0 +1,233 @@
+// Every constant of the program, with its unit and the reason for its value.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace dockdyke::limits {
+
+using namespace std::chrono_literals;
+
+// ---- Event loop -------------------------------------------------------------------------------------------
+// Longest sleep of an idle loop; only a bound, every wake-up has a timer of its own.
+inline constexpr auto kLongestPoll = 1s;
+// Events taken from the kernel in one call; a burst is spread over turns so that timers still run.
+inline constexpr std::size_t kEventsPerTurn = 128;
+
+// ---- HTTP -------------------------------------------------------------------------------------------------
+// Bytes of request line and headers; ours and the platform's are under 1 KiB.
+inline constexpr std::size_t kMaxHead = 8 * 1024;
+// Bytes of a request body, from PROTOCOL.
+inline constexpr std::size_t kMaxRequestBody = 64 * 1024;
+// Bytes of a response body taken from state service or cloud; watches have no stated limit, memory does.
+inline constexpr std::size_t kMaxResponseBody = 8 * 1024 * 1024;
+// Bytes read from a socket in one call.
+inline constexpr std::size_t kReadChunk = 16 * 1024;
+// Connections waiting to be accepted.
+inline constexpr int kListenBacklog = 256;
+// A connection may sit idle this long; users poll every 5 s, workers report every few seconds.
+inline constexpr auto kIdleConnection = 75s;
+// A request must be complete this long after its first byte, or the peer is too slow to serve.
+inline constexpr auto kRequestRead = 10s;
+// A response must be taken by the peer within this time.
+inline constexpr auto kResponseWrite = 10s;
+// Descriptors kept for our own calls (state, cloud, peers, listening) when connections come close to the limit.
+inline constexpr std::size_t kReservedSockets = 64;
+// Accepted connections per turn; the rest wait in the backlog, which holds back whoever sends them.
+inline constexpr int kAcceptsPerTurn = 32;
+// Idle client connections kept per destination; more than this many calls at once are rare.
+inline constexpr std::size_t kIdlePerDestination = 8;
+// An idle client connection older than this is not trusted to be alive.
+inline constexpr auto kIdleClient = 30s;
+
+// ---- Message bounds ---------------------------------------------------------------------------------------
+// Nesting of a MessagePack body; the deepest message of the protocol has five levels.
+inline constexpr int kMaxDepth = 12;
+// Tasks of a job, from PROTOCOL.
+inline constexpr std::uint64_t kMaxTasks = 100'000;
+// Characters of a name (class, team, image, machine type); a record must fit the state service's values.
+inline constexpr std::size_t kMaxName = 200;
+// Largest amount (CPUs, GB, seconds) taken from a user; beyond any machine, but arithmetic stays exact.
+inline constexpr double kMaxAmount = 1e9;
+// Orders in one answer to a worker, so that it stays far below 64 KiB.
+inline constexpr std::size_t kMaxOrders = 250;
+
+// ---- State service ----------------------------------------------------------------------------------------
+// Seconds one call may take; usual answers take some ms, rare ones a few hundred.
+inline constexpr double kStateTimeout = 1.5;
+// Seconds a watch may wait at the service. Short, since a completed watch is what proves the leader's view fresh.
+inline constexpr double kWatchHold = 2.0;
+// Items asked for per page of a listing.
+inline constexpr std::uint64_t kListPage = 200;
+// Share of the service's request and write limits a leader uses; the rest is for the other controllers.
+inline constexpr double kLeaderShare = 0.6;
+// Share that all the other controllers split among them. With kLeaderShare it leaves a margin for
+// renewals and for the moments in which two controllers think they lead.
+inline constexpr double kFollowersShare = 0.3;
+// Seconds a request may wait for budget before it is given up.
+inline constexpr double kBudgetPatience = 2.0;
+// Seconds of the leader's own wait for budget in background writes.
+inline constexpr double kBackgroundPatience = 10.0;
+// Calls waiting for budget before new submissions are refused at once: a small buffer between stages.
+inline constexpr std::size_t kBudgetQueue = 64;
+
+// ---- Election ---------------------------------------------------------------------------------------------
+// Milliseconds a leader's lease lives; a dead leader is replaced after it, a busy one must not lose it.
+inline constexpr std::uint64_t kLeaderLeaseMs = 3500;
+// Seconds between renewals; several may fail before the lease ends.
+inline constexpr double kRenewEvery = 0.8;
+// Seconds a renewal may take before the next is tried.
+inline constexpr double kRenewTimeout = 1.0;
+// Seconds a follower's watch of the leader's key may wait; an answer tells that the service still hears us.
+inline constexpr double kFollowerWatchHold = 5.0;
+// Seconds between attempts of a follower whose election call failed.
+inline constexpr double kElectionRetry = 0.4;
+
+// ---- Cloud ------------------------------------------------------------------------------------------------
+// Seconds one call to the cloud may take.
+inline constexpr double kCloudTimeout = 4.0;
+// Share of the cloud's call limit used by the leader; followers ask only for the machine types.
+inline constexpr double kCloudShare = 0.7;
+// Machines per page of the list, from PROTOCOL.
+inline constexpr std::uint64_t kMachinePage = 500;
+// Machines in one rental, from PROTOCOL.
+inline constexpr std::uint64_t kMaxRent = 50;
+// Machines in one deletion: a record of them must fit one value, and PROTOCOL allows 100.
+inline constexpr std::size_t kMaxDelete = 50;
+// Seconds between readings of the machine list (re-adoption); the list itself lags by seconds.
+inline constexpr double kListEvery = 5.0;
+// Seconds between readings of the machine types for current prices.
+inline constexpr double kFlavorsEvery = 60.0;
+// Seconds before a failed reading of the machine types is repeated.
+inline constexpr double kFlavorsRetry = 2.0;
+// Seconds before an unanswered rental or deletion is repeated.
+inline constexpr double kCloudRetry = 1.5;
+// Seconds a name deleted by us is remembered, since lists that lag still show it.
+inline constexpr double kTombstone = 600.0;
+
+// ---- Peers ------------------------------------------------------------------------------------------------
+// Seconds a follower gives the leader to answer a forwarded request before it runs the handler itself.
+inline constexpr double kForwardTimeout = 0.25;
+// Seconds between questions to the other controllers while the state service does not answer.
+inline constexpr double kPeerAskEvery = 0.7;
+// Seconds one such question may take.
+inline constexpr double kPeerTimeout = 0.6;
+// Seconds without an answer of the state service after which a node asks the others about it.
+inline constexpr double kStateSuspect = 1.2;
+
+// ---- Users ------------------------------------------------------------------------------------------------
+// Seconds for a user's request in all; users wait 2 s for a poll and 5 s for a submission.
+inline constexpr double kPollBudget = 1.6;
+inline constexpr double kSubmitBudget = 3.5;
+// Seconds a refused user is asked to wait. Users retry for 60 s in all, so it stays short.
+inline constexpr int kRetryAfter = 1;
+// Final states remembered per node to answer late polls without the store.
+inline constexpr std::size_t kFinalCache = 20'000;
+// Submissions being carried out at once; one more is answered 503 at once.
+inline constexpr std::size_t kSubmitsInFlight = 48;
+// Attempts at a transaction whose guard was overtaken by another writer.
+inline constexpr int kTxnAttempts = 6;
+
+// ---- Workers ----------------------------------------------------------------------------------------------
+// Largest drift between two steady clocks, from PROTOCOL.
+inline constexpr double kDrift = 0.0005;
+// Seconds added where a lease's end is concluded, for timers and answers in flight.
+inline constexpr double kLeaseMargin = 1.0;
+// Seconds held back from `cancel_s - lease_s` while the leader's view is stale.
+inline constexpr double kCancelMargin = 5.0;
+// Seconds an answer to a worker waits for the records that its own report made necessary, so that the
+// answer can carry `forget` and the next `run`; a worker waits 4 s.
+inline constexpr double kAnswerWait = 0.25;
+// Reports are due every report_s give or take a quarter; after this many periods a machine counts as silent.
+inline constexpr double kSilentReports = 2.2;
+
+// Seconds without proof that the leader's view is fresh after which it starts nothing; a watch takes 2 s.
+inline constexpr double kFreshForStarts = 4.5;
+// Reports waiting for the owner of the state; one more is told to come back, which holds the workers back.
+inline constexpr std::size_t kReportQueue = 256;
+// Seconds between the leader's looks at its timers (leases, notices); the fleet is counted every kTick.
+inline constexpr double kHousekeeping = 1.0;
+// Seconds before a background call to the state service that was refused is made again.
+inline constexpr double kBackgroundRetry = 0.3;
+
+// ---- Records ----------------------------------------------------------------------------------------------
+// Bytes kept free in a value for the fields beside specification and tasks.
+inline constexpr std::size_t kRecordOverhead = 320;
+// Bytes one task takes in a record at most: attempt, machine, separators.
+inline constexpr std::size_t kBytesPerTask = 26;
+// Saves in flight at once; further ones wait and are merged per job meanwhile.
+inline constexpr std::size_t kSavesInFlight = 8;
+
+// ---- Judgement --------------------------------------------------------------------------------------------
+// Seconds between counts of the fleet, from the design.
+inline constexpr double kTick = 5.0;
+// Share of its estimate after which a task counts as nearly done, from the design.
+inline constexpr double kNearlyDone = 0.9;
+// Seconds a task waits for nearly done machines before it counts as a reason to rent.
+inline constexpr double kShortWait = 2.0;
+// A task past this many times its estimate is no longer trusted to end soon (DESIGN's first doubt).
+inline constexpr double kOverdue = 1.6;
+// Machines kept at the least and free, and the most: defaults of the operators' flags.
+inline constexpr std::uint32_t kMinMachines = 2;
+inline constexpr std::uint32_t kFreeMachines = 0;
+inline constexpr std::uint32_t kMaxMachines = 200;
+// An empty machine is kept for this share of its type's boot time before it goes back: about the point at
+// which keeping it has cost as much as booting another (DESIGN's second doubt).
+inline constexpr double kHoldBoots = 0.6;
+// Seconds a rental refused for lack of capacity rests, first and at most (doubling between).
+inline constexpr double kRefusedFirst = 10.0;
+inline constexpr double kRefusedMost = 60.0;
+// A machine that is not up after this many boot times counts as not coming; after the second it is deleted.
+inline constexpr double kLateBoots = 1.8;
+inline constexpr double kLostBoots = 3.0;
+// Seconds a machine may stay silent past its lease before it is deleted.
+inline constexpr double kSilentPatience = 25.0;
+// Tasks of this many different jobs must fail on a machine in a row for it to be called faulty.
+inline constexpr std::size_t kFaultyJobs = 2;
+// Seconds a job that failed waits before it runs again, first and at most (doubling between).
+inline constexpr double kErrorBackoffFirst = 2.0;
+inline constexpr double kErrorBackoffMost = 60.0;
+// Failures on this many different machines in a row make a job suspect instead of the machines.
+inline constexpr std::size_t kSuspectMachines = 3;
+// Seconds a machine that refused a start for lack of room gets no further task.
+inline constexpr double kNoRoomBackoff = 4.0;
+// Seconds before the end announced by a notice that a saving task is stopped at the latest.
+inline constexpr double kNoticeMargin = 3.0;
+// Tasks looked at when the need for machines is worked out; more need more machines than any tick rents.
+inline constexpr std::size_t kDemandTasks = 2'000;
+// Tasks placed in one batch, so that one pass over a huge job stays short.
+inline constexpr std::size_t kPlacePerBatch = 400;
+// Weight of the newest observation in a class's correction of estimates.
+inline constexpr double kLearnRate = 0.15;
+// Bounds of that correction; owners' estimates are said to be wrong by half, sometimes by more.
+inline constexpr double kLearnLeast = 0.3;
+inline constexpr double kLearnMost = 4.0;
+// Seconds of a job's slack worth of one step of urgency in ordering within a priority.
+inline constexpr double kNoDeadlineSlack = 600.0;
+// A job waiting this long (s) without room may stop work of lower priority, unless its deadline is nearer.
+inline constexpr double kPreemptWait = 6.0;
+// Seconds between passes that look for work to stop.
+inline constexpr double kPreemptEvery = 2.0;
+
+// Choice of a machine, all in seconds of a task's time, so that they can be weighed against an image fetch:
+// a full machine's worth of room left over, an empty machine opened, an ordinary machine where spot would do,
+// a machine on which something failed lately.
+inline constexpr double kLeftoverWeight = 8.0;
+inline constexpr double kOpenWeight = 4.0;
+inline constexpr double kOrdinaryWeight = 6.0;
+inline constexpr double kFailedWeight = 30.0;
+// Share of a fetch still to wait for when another task has it under way.
+inline constexpr double kSharedFetch = 0.5;
+// Lists in a row that must miss a silent machine before it is deleted (the list may be older than the last).
+inline constexpr int kUnlisted = 2;
+// Seconds in which a machine known only from a record must show up in list or report, beside the list's lag.
+inline constexpr double kUnknownMachine = 8.0;
+// Share of the cloud's calls within one tick that may be rentals.
+inline constexpr double kRentShare = 0.4;
+
+// ---- Settings ---------------------------------------------------------------------------------------------
+// Bytes of a settings file; a real one has a few KiB.
+inline constexpr std::size_t kMaxSettings = 4 * 1024 * 1024;
+
+}  // namespace dockdyke::limits
--- /dev/null
+++ b/src/peer/peer.cpp
@@ -0,0 +1,96 @@
+#include "peer/peer.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <exception>
+#include <sstream>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace dockdyke::peer {
+
+template <class Archive>
+void serialize(Archive& archive, Forwarded& message) {
+  archive(message.kind, message.job, message.body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ForwardAnswer& message) {
+  archive(message.handled, message.status, message.retry_after_s, message.body);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Standing& message) {
+  archive(message.leading, message.token, message.state_answers);
+}
+
+namespace {
+
+template <class T>
+std::string packed(const T& message) {
+  std::ostringstream out;
+  {
+    cereal::PortableBinaryOutputArchive archive(out);
+    archive(message);
+  }
+  return out.str();
+}
+
+template <class T>
+std::optional<T> unpacked(const std::string& bytes) {
+  try {
+    std::istringstream in(bytes);
+    cereal::PortableBinaryInputArchive archive(in);
+    T message;
+    archive(message);
+    return message;
+  } catch (const std::exception&) {
+    // Too short, or a length that no memory could hold.
+    return std::nullopt;
+  }
+}
+
+net::Task<std::optional<std::string>> ask(net::Transport& transport, net::Address to, const char* path,
+                                          std::string body, double timeout_s) {
+  net::CallResult result = co_await transport.call(to, "POST", path, std::move(body), net::seconds(timeout_s));
+  if (!result.response || result.response->status != 200) co_return std::nullopt;
+  co_return std::move(result.response->body);
+}
+
+}  // namespace
+
+std::optional<Forwarded> decode_forwarded(const std::string& bytes) { return unpacked<Forwarded>(bytes); }
+std::string encode(const Forwarded& message) { return packed(message); }
+std::optional<ForwardAnswer> decode_answer(const std::string& bytes) { return unpacked<ForwardAnswer>(bytes); }
+std::string encode(const ForwardAnswer& message) { return packed(message); }
+std::optional<Standing> decode_standing(const std::string& bytes) { return unpacked<Standing>(bytes); }
+std::string encode(const Standing& message) { return packed(message); }
+
+ForwardAnswer to_answer(const net::HttpResponse& response) {
+  return {true, response.status, response.retry_after_s.value_or(0), response.body};
+}
+
+net::HttpResponse to_response(ForwardAnswer answer) {
+  net::HttpResponse response{answer.status, std::move(answer.body), std::nullopt};
+  if (answer.retry_after_s > 0) response.retry_after_s = answer.retry_after_s;
+  return response;
+}
+
+net::Task<std::optional<net::HttpResponse>> forward(net::Transport& transport, net::Address leader,
+                                                    Forwarded request) {
+  std::optional<std::string> body =
+      co_await ask(transport, leader, kForwardPath, encode(request), limits::kForwardTimeout);
+  if (!body) co_return std::nullopt;
+  auto answer = decode_answer(*body);
+  if (!answer || !answer->handled) co_return std::nullopt;
+  co_return to_response(*std::move(answer));
+}
+
+net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling) {
+  std::optional<std::string> body = co_await ask(transport, sibling, kStandingPath, "?", limits::kPeerTimeout);
+  if (!body) co_return std::nullopt;
+  co_return decode_standing(*body);
+}
+
+}  // namespace dockdyke::peer
--- /dev/null
+++ b/src/peer/peer.hpp
@@ -0,0 +1,55 @@
+// What controllers say to each other: requests handed on to the leader, and who leads. Encoded with cereal.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "net/task.hpp"
+
+namespace dockdyke::peer {
+
+enum class RequestKind : std::uint8_t { submit, cancel };
+
+struct Forwarded {
+  RequestKind kind = RequestKind::submit;
+  std::string job;   // of a cancellation
+  std::string body;  // of a submission, as the user sent it
+};
+
+struct ForwardAnswer {
+  bool handled = false;  // false: not the leader
+  std::int32_t status = 0;
+  std::int32_t retry_after_s = 0;  // 0: none
+  std::string body;
+};
+
+struct Standing {
+  bool leading = false;
+  std::uint64_t token = 0;
+  bool state_answers = false;
+};
+
+inline constexpr const char* kForwardPath = "/peer/forward";
+inline constexpr const char* kStandingPath = "/peer/standing";
+
+// Nothing where the bytes are no such message.
+std::optional<Forwarded> decode_forwarded(const std::string& bytes);
+std::string encode(const Forwarded& message);
+std::optional<ForwardAnswer> decode_answer(const std::string& bytes);
+std::string encode(const ForwardAnswer& message);
+std::optional<Standing> decode_standing(const std::string& bytes);
+std::string encode(const Standing& message);
+
+ForwardAnswer to_answer(const net::HttpResponse& response);
+net::HttpResponse to_response(ForwardAnswer answer);
+
+// Hands a request to the leader; nothing when it does not answer quickly or does not lead.
+net::Task<std::optional<net::HttpResponse>> forward(net::Transport& transport, net::Address leader,
+                                                    Forwarded request);
+net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling);
+
+}  // namespace dockdyke::peer
--- /dev/null
+++ b/src/store/rate_budget.cpp
@@ -0,0 +1,64 @@
+#include "store/rate_budget.hpp"
+
+#include <algorithm>
+
+namespace dockdyke::store {
+
+RateBudget::RateBudget(net::Loop& loop, double per_second)
+    : loop_(loop), rate_(per_second), tokens_(per_second), filled_at_(loop.now()) {}
+
+void RateBudget::set_rate(double per_second) {
+  refill();
+  rate_ = per_second;
+  tokens_ = std::min(tokens_, rate_);
+}
+
+void RateBudget::refill() {
+  const double passed = std::chrono::duration<double>(loop_.now() - filled_at_).count();
+  tokens_ = std::min(rate_, tokens_ + passed * rate_);  // the services allow bursts of one second's worth
+  filled_at_ = loop_.now();
+}
+
+bool RateBudget::affordable(double cost) const {
+  // A cost above a whole second's worth could never be saved up, so a full bucket is enough for it.
+  return tokens_ >= std::min(cost, rate_);
+}
+
+void RateBudget::charge(double cost) {
+  refill();
+  tokens_ -= cost;
+}
+
+net::Task<bool> RateBudget::take(double cost, Urgency urgency, net::TimePoint deadline) {
+  refill();
+  if (line_.empty() && affordable(cost)) {
+    tokens_ -= cost;
+    co_return true;
+  }
+  const Place place{urgency, next_place_++};
+  net::OneShot<bool> granted(loop_);
+  line_.emplace(place, Waiting{cost, granted});
+  serve_line();
+  const auto answer = co_await granted.wait_until(deadline);
+  if (!answer) line_.erase(place);
+  co_return answer.has_value();
+}
+
+void RateBudget::serve_line() {
+  refill();
+  while (!line_.empty() && affordable(line_.begin()->second.cost)) {
+    auto first = line_.begin();
+    tokens_ -= first->second.cost;
+    first->second.granted.set(true);
+    line_.erase(first);
+  }
+  if (line_.empty() || timer_set_) return;
+  timer_set_ = true;
+  const double missing = std::min(line_.begin()->second.cost, rate_) - tokens_;
+  loop_.at(loop_.now() + net::seconds(std::max(0.001, missing / rate_)), [this] {
+    timer_set_ = false;
+    serve_line();
+  });
+}
+
+}  // namespace dockdyke::store
--- /dev/null
+++ b/src/store/state_client.hpp
@@ -0,0 +1,83 @@
+// Calls to the state service within this controller's share of its limits.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "net/http_client.hpp"
+#include "net/loop.hpp"
+#include "net/task.hpp"
+#include "store/rate_budget.hpp"
+#include "wire/messages.hpp"
+
+namespace dockdyke::store {
+
+enum class Outcome {
+  ok,
+  missing,   // no such key or lease
+  conflict,  // a guard did not hold; nothing was changed
+  expired,   // the revision asked for is too old to watch from
+  rejected,  // the service called the request wrong; nothing was changed
+  refused,   // not carried out: outage, limit, or no budget left here
+  unknown,   // no answer: carried out, or not, or yet to be
+};
+
+template <class T>
+struct Result {
+  Outcome outcome = Outcome::unknown;
+  T value{};
+  explicit operator bool() const { return outcome == Outcome::ok; }
+};
+
+struct Committed {
+  Revision revision;
+  std::vector<std::string> failed_guards;
+};
+
+struct Limits {
+  double requests_per_second = 100;
+  double writes_per_second = 20;
+};
+
+class StateClient {
+ public:
+  StateClient(net::Loop& loop, net::Transport& transport, net::Address service, Limits limits);
+
+  // The share of the limits this controller may use in its present role.
+  void set_share(double share);
+
+  net::Task<Result<wire::KeyValue>> get(std::string key, net::TimePoint deadline);
+  // Reads every key with the prefix, page after page. The revision is that of the first page.
+  net::Task<Result<wire::KeyPage>> list(std::string prefix);
+  net::Task<Result<Committed>> commit(wire::Transaction transaction, Urgency urgency, net::TimePoint deadline);
+  net::Task<Result<wire::KeyEvents>> watch(std::string prefix, Revision after, double wait_s);
+
+  net::Task<Result<LeaseId>> grant(std::uint64_t ttl_ms);
+  net::Task<Outcome> renew(LeaseId lease);
+
+  // True when calls have been failing for a while and none has succeeded since.
+  bool suspect() const;
+  // True while calls stand in line for budget: the stage before should take no more.
+  bool backed_up() const;
+
+ private:
+  struct Reply {
+    Outcome outcome = Outcome::unknown;
+    wire::Json body;
+  };
+  net::Task<Reply> call(std::string method, std::string target, std::string body, net::Duration timeout);
+  void note(bool answered);
+  net::TimePoint in(double seconds) const { return loop_.now() + net::seconds(seconds); }
+
+  net::Loop& loop_;
+  net::Transport& transport_;
+  net::Address service_;
+  Limits limits_;
+  RateBudget requests_;
+  RateBudget writes_;
+  std::optional<net::TimePoint> failing_since_;
+};
+
+}  // namespace dockdyke::store
--- /dev/null
+++ b/src/wire/messages.cpp
@@ -0,0 +1,409 @@
+#include "wire/messages.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace dockdyke::wire {
+
+namespace {
+
+template <class Enum, std::size_t N>
+using Spelling = std::array<std::pair<std::string_view, Enum>, N>;
+
+constexpr Spelling<Shape, 2> kShapes{{{"batch", Shape::batch}, {"standing", Shape::standing}}};
+constexpr Spelling<Priority, 4> kPriorities{{{"critical", Priority::critical},
+                                             {"high", Priority::high},
+                                             {"normal", Priority::normal},
+                                             {"low", Priority::low}}};
+constexpr Spelling<Stage, 4> kStages{{{"pending", Stage::pending},
+                                      {"running", Stage::running},
+                                      {"done", Stage::done},
+                                      {"cancelled", Stage::cancelled}}};
+constexpr Spelling<TaskState, 4> kTaskStates{{{"pulling", TaskState::fetching},
+                                              {"running", TaskState::running},
+                                              {"saving", TaskState::saving},
+                                              {"exited", TaskState::exited}}};
+constexpr Spelling<ExitCause, 6> kCauses{{{"done", ExitCause::done},
+                                          {"halted", ExitCause::stopped},
+                                          {"error", ExitCause::error},
+                                          {"no_room", ExitCause::no_room},
+                                          {"busy", ExitCause::busy},
+                                          {"no_such", ExitCause::unknown_job}}};
+constexpr Spelling<Verb, 3> kVerbs{{{"run", Verb::start}, {"kill", Verb::stop}, {"forget", Verb::forget}}};
+constexpr Spelling<MachineStage, 3> kMachineStages{{{"booting", MachineStage::booting},
+                                                    {"running", MachineStage::running},
+                                                    {"failed", MachineStage::failed}}};
+
+template <class Enum, std::size_t N>
+std::optional<Enum> meaning(const Spelling<Enum, N>& table, std::string_view text) {
+  for (const auto& [spelling, value] : table)
+    if (spelling == text) return value;
+  return std::nullopt;
+}
+
+template <class Enum, std::size_t N>
+std::string_view spelling_of(const Spelling<Enum, N>& table, Enum value) {
+  for (const auto& [spelling, each] : table)
+    if (each == value) return spelling;
+  return {};
+}
+
+template <class Enum, std::size_t N>
+Enum require_enum(const Json& map, const char* field, const Spelling<Enum, N>& table) {
+  auto value = meaning(table, require_text(map, field));
+  if (!value) throw Malformed(std::string("unknown value in field: ") + field);
+  return *value;
+}
+
+std::string checked_name(std::string text, const char* field) {
+  if (text.empty() || text.size() > limits::kMaxName) throw Malformed(std::string("invalid name: ") + field);
+  return text;
+}
+
+double checked_amount(double amount, const char* field) {
+  if (amount > limits::kMaxAmount) throw Malformed(std::string("too large: ") + field);
+  return amount;
+}
+
+double bounded_amount(const Json& map, const char* field) { return checked_amount(require_amount(map, field), field); }
+
+std::vector<std::string> names_in(const Json& list, const char* field) {
+  if (!list.is_array()) throw Malformed(std::string("not a list: ") + field);
+  std::vector<std::string> out;
+  for (const auto& each : list) {
+    if (!each.is_string()) throw Malformed(std::string("not a name in: ") + field);
+    auto name = checked_name(each.get<std::string>(), field);
+    if (std::find(out.begin(), out.end(), name) == out.end()) out.push_back(std::move(name));
+  }
+  return out;
+}
+
+const Json& require_list(const Json& map, const char* field) {
+  const Json* list = find(map, field);
+  if (!list || !list->is_array()) throw Malformed(std::string("not a list: ") + field);
+  return *list;
+}
+
+Json nullable(const auto& value) { return value ? Json(*value) : Json(nullptr); }
+
+std::string escaped(std::string_view text) {
+  std::string out;
+  for (unsigned char c : text) {
+    const bool plain = (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' ||
+                       c == '_' || c == '.' || c == '/' || c == '~';
+    if (plain) {
+      out += static_cast<char>(c);
+    } else {
+      static constexpr char kHex[] = "0123456789ABCDEF";
+      out += {'%', kHex[c >> 4], kHex[c & 15]};
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+Resources& Resources::operator+=(const Resources& other) {
+  cpus += other.cpus;
+  gpus += other.gpus;
+  memory_gb += other.memory_gb;
+  return *this;
+}
+
+Resources& Resources::operator-=(const Resources& other) {
+  cpus -= other.cpus;
+  gpus -= other.gpus;
+  memory_gb -= other.memory_gb;
+  return *this;
+}
+
+bool Resources::fits_into(const Resources& room) const {
+  constexpr double kRounding = 1e-6;  // far below any amount, far above the error of summing decimals
+  return cpus <= room.cpus + kRounding && gpus <= room.gpus + kRounding && memory_gb <= room.memory_gb + kRounding;
+}
+
+bool is_job_id(std::string_view text) {
+  constexpr std::string_view kPrefix = "job-";
+  constexpr std::size_t kMostDigits = 18;
+  if (!text.starts_with(kPrefix)) return false;
+  auto digits = text.substr(kPrefix.size());
+  return !digits.empty() && digits.size() <= kMostDigits &&
+         std::all_of(digits.begin(), digits.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+JobSpec parse_job(const Json& body) {
+  JobSpec spec;
+  auto id = require_text(body, "id");
+  if (!is_job_id(id)) throw Malformed("invalid id");
+  spec.id = JobId(std::move(id));
+  spec.job_class = checked_name(require_text(body, "lane"), "lane");
+  spec.team = checked_name(require_text(body, "crew"), "crew");
+  spec.shape = require_enum(body, "shape", kShapes);
+  spec.priority = require_enum(body, "urgency", kPriorities);
+  auto tasks = require_count(body, "pieces");
+  if (tasks == 0 || tasks > limits::kMaxTasks) throw Malformed("out of range: pieces");
+  spec.tasks = static_cast<TaskIndex>(tasks);
+  spec.each = {bounded_amount(body, "vcpus"), bounded_amount(body, "gpus"), bounded_amount(body, "ram_gb")};
+  spec.image = checked_name(require_text(body, "hull"), "hull");
+  spec.image_gb = bounded_amount(body, "image_gb");
+  if (const Json* types = find(body, "builds")) {
+    spec.machine_types = names_in(*types, "builds");
+    if (spec.machine_types->empty()) throw Malformed("empty: builds");
+  }
+  if (auto zone = optional_text(body, "polder")) spec.zone = checked_name(*zone, "polder");
+  spec.one_zone = require_flag(body, "same_place");
+  spec.spread = require_flag(body, "spread");
+  spec.spot_allowed = require_flag(body, "ebbtide");
+  spec.estimate_s = bounded_amount(body, "expect_s");
+  spec.checkpoint_s = bounded_amount(body, "mark_s");
+  spec.save_s = bounded_amount(body, "stow_s");
+  if (auto due = optional_amount(body, "due_s")) spec.deadline_s = checked_amount(*due, "due_s");
+  return spec;
+}
+
+Json to_json(const JobSpec& spec) {
+  return Json{{"id", spec.id.value},
+              {"lane", spec.job_class},
+              {"crew", spec.team},
+              {"shape", spelling_of(kShapes, spec.shape)},
+              {"urgency", spelling_of(kPriorities, spec.priority)},
+              {"pieces", spec.tasks},
+              {"vcpus", spec.each.cpus},
+              {"gpus", spec.each.gpus},
+              {"ram_gb", spec.each.memory_gb},
+              {"hull", spec.image},
+              {"image_gb", spec.image_gb},
+              {"builds", nullable(spec.machine_types)},
+              {"polder", nullable(spec.zone)},
+              {"same_place", spec.one_zone},
+              {"spread", spec.spread},
+              {"ebbtide", spec.spot_allowed},
+              {"expect_s", spec.estimate_s},
+              {"mark_s", spec.checkpoint_s},
+              {"stow_s", spec.save_s},
+              {"due_s", nullable(spec.deadline_s)}};
+}
+
+std::string_view spelled(Stage stage) { return spelling_of(kStages, stage); }
+std::optional<Stage> stage_from(std::string_view text) { return meaning(kStages, text); }
+
+Json job_answer(const JobId& id, Stage stage) { return Json{{"id", id.value}, {"stage", spelled(stage)}}; }
+
+Json job_status_answer(const JobId& id, const JobStatus& status) {
+  auto out = job_answer(id, status.stage);
+  out["done"] = status.done;
+  out["running"] = status.running;
+  return out;
+}
+
+std::optional<TaskRef> parse_task(std::string_view text) {
+  auto slash = text.find('/');
+  if (slash == std::string_view::npos || !is_job_id(text.substr(0, slash))) return std::nullopt;
+  auto digits = text.substr(slash + 1);
+  TaskIndex index = 0;
+  auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), index);
+  if (digits.empty() || error != std::errc{} || end != digits.data() + digits.size()) return std::nullopt;
+  return TaskRef{JobId(std::string(text.substr(0, slash))), index};
+}
+
+std::string spelled(const TaskRef& task) { return task.job.value + "/" + std::to_string(task.index); }
+
+Report parse_report(const Json& body) {
+  Report report;
+  report.machine = MachineId(checked_name(require_text(body, "dyke"), "dyke"));
+  report.address = require_text(body, "endpoint");
+  report.type = checked_name(require_text(body, "build"), "build");
+  report.zone = checked_name(require_text(body, "polder"), "polder");
+  report.spot = flag_or(body, "ebbtide", false);
+  report.session = require_count(body, "watch");
+  report.sequence = require_count(body, "tally");
+  report.token = Token(require_count(body, "warrant"));
+  report.notice_s = optional_amount(body, "warning_s");
+  for (const auto& each : require_list(body, "pieces")) {
+    ReportedTask task;
+    auto ref = parse_task(require_text(each, "piece"));
+    if (!ref) throw Malformed("invalid piece");
+    task.task = *std::move(ref);
+    task.attempt = require_count(each, "try");
+    task.state = require_enum(each, "stage", kTaskStates);
+    if (task.state == TaskState::exited) task.cause = require_enum(each, "cause", kCauses);
+    task.saved = flag_or(each, "stored", false);
+    report.tasks.push_back(std::move(task));
+  }
+  return report;
+}
+
+Json report_answer(Token token, const std::vector<Order>& orders) {
+  Json list = Json::array();
+  for (const auto& order : orders) {
+    Json each{{"verb", spelling_of(kVerbs, order.verb)}, {"piece", spelled(order.task)}, {"try", order.attempt}};
+    if (order.verb == Verb::stop) each["leeway_s"] = order.grace_s;
+    list.push_back(std::move(each));
+  }
+  return Json{{"warrant", token.value}, {"orders", std::move(list)}};
+}
+
+Json redirect_answer(const std::string& host) { return Json{{"harbour", host}}; }
+
+std::vector<MachineType> parse_machine_types(const Json& body) {
+  std::vector<MachineType> out;
+  for (const auto& each : require_list(body, "builds")) {
+    MachineType type;
+    type.name = require_text(each, "name");
+    type.size = {require_amount(each, "vcpus"), optional_amount(each, "gpus").value_or(0),
+                 require_amount(each, "ram_gb")};
+    type.cache_gb = optional_amount(each, "local_gb").value_or(0);
+    type.fetch_gb_per_s = optional_amount(each, "pull_gb_per_s").value_or(1);
+    type.price = require_amount(each, "price");
+    type.spot_price = optional_amount(each, "market_price").value_or(type.price);
+    type.boot_s = require_amount(each, "ready_s");
+    type.zones = names_in(require_list(each, "polders"), "polders");
+    out.push_back(std::move(type));
+  }
+  return out;
+}
+
+Json to_json(const std::vector<MachineType>& types) {
+  Json list = Json::array();
+  for (const auto& type : types)
+    list.push_back({{"name", type.name},
+                    {"vcpus", type.size.cpus},
+                    {"gpus", type.size.gpus},
+                    {"ram_gb", type.size.memory_gb},
+                    {"local_gb", type.cache_gb},
+                    {"pull_gb_per_s", type.fetch_gb_per_s},
+                    {"price", type.price},
+                    {"market_price", type.spot_price},
+                    {"ready_s", type.boot_s},
+                    {"polders", type.zones}});
+  return Json{{"builds", std::move(list)}};
+}
+
+MachinePage parse_machine_page(const Json& body) {
+  MachinePage page;
+  for (const auto& each : require_list(body, "dykes")) {
+    ListedMachine machine;
+    machine.id = MachineId(require_text(each, "id"));
+    machine.type = require_text(each, "build");
+    machine.zone = require_text(each, "polder");
+    machine.spot = flag_or(each, "ebbtide", false);
+    machine.stage = require_enum(each, "stage", kMachineStages);
+    machine.age_s = optional_amount(each, "held_s").value_or(0);
+    page.machines.push_back(std::move(machine));
+  }
+  page.more = flag_or(body, "more", false);
+  return page;
+}
+
+Json to_json(const Rental& rental) {
+  return Json{{"charter", rental.id.value},
+              {"build", rental.type},
+              {"polder", rental.zone},
+              {"ebbtide", rental.spot},
+              {"count", rental.count}};
+}
+
+Rental parse_rental(const Json& value) {
+  return Rental{RentId(require_text(value, "charter")), require_text(value, "build"), require_text(value, "polder"),
+                require_flag(value, "ebbtide"), require_count(value, "count")};
+}
+
+std::vector<MachineId> parse_machine_names(const Json& body) {
+  std::vector<MachineId> out;
+  for (auto& name : names_in(require_list(body, "dykes"), "dykes")) out.emplace_back(std::move(name));
+  return out;
+}
+
+Json machine_names(const std::vector<MachineId>& names) {
+  Json list = Json::array();
+  for (const auto& each : names) list.push_back(each.value);
+  return Json{{"dykes", std::move(list)}};
+}
+
+Json to_json(const Transaction& transaction) {
+  Json guards = Json::array();
+  for (const auto& guard : transaction.guards) guards.push_back({{"k", guard.key}, {"stamp", guard.version.value}});
+  Json apply = Json::array();
+  for (const auto& put : transaction.puts) {
+    Json each{{"write", put.key}, {"value", put.value}};
+    if (put.lease) each["tenure"] = put.lease->value;
+    apply.push_back(std::move(each));
+  }
+  for (const auto& key : transaction.removals) apply.push_back({{"remove", key}});
+  return Json{{"guards", std::move(guards)}, {"apply", std::move(apply)}};
+}
+
+KeyValue parse_key_value(const Json& body) {
+  const Json* value = find(body, "value");
+  return KeyValue{require_text(body, "k"), value ? *value : Json(), Revision(require_count(body, "stamp"))};
+}
+
+KeyPage parse_key_page(const Json& body) {
+  KeyPage page;
+  for (const auto& each : require_list(body, "pairs")) page.items.push_back(parse_key_value(each));
+  page.more = flag_or(body, "more", false);
+  page.revision = parse_revision(body);
+  return page;
+}
+
+KeyEvents parse_key_events(const Json& body) {
+  KeyEvents out;
+  for (const auto& each : require_list(body, "log")) {
+    KeyEvent event;
+    event.version = Revision(require_count(each, "stamp"));
+    if (auto written = optional_text(each, "write")) {
+      event.key = *std::move(written);
+      const Json* value = find(each, "value");
+      event.value = value ? *value : Json();
+    } else {
+      event.key = require_text(each, "remove");
+    }
+    out.events.push_back(std::move(event));
+  }
+  out.revision = parse_revision(body);
+  return out;
+}
+
+Revision parse_revision(const Json& body) { return Revision(require_count(body, "ledger")); }
+
+std::vector<std::string> parse_failed_guards(const Json& body) {
+  std::vector<std::string> out;
+  for (const auto& each : require_list(body, "failed"))
+    if (each.is_string()) out.push_back(each.get<std::string>());
+  return out;
+}
+
+Json lease_request(std::uint64_t ttl_ms) { return Json{{"life_ms", ttl_ms}}; }
+LeaseId parse_lease(const Json& body) { return LeaseId(require_count(body, "tenure")); }
+
+namespace path {
+
+std::string machine_page(const std::string& after, std::uint64_t limit) {
+  std::string out = std::string(kMachines) + "?page=" + std::to_string(limit);
+  if (!after.empty()) out += "&since=" + escaped(after);
+  return out;
+}
+
+std::string key(const std::string& key) { return "/store/" + escaped(key); }
+
+std::string key_page(const std::string& prefix, const std::string& after, std::uint64_t limit) {
+  std::string out = "/store?starts=" + escaped(prefix) + "&page=" + std::to_string(limit);
+  if (!after.empty()) out += "&since=" + escaped(after);
+  return out;
+}
+
+std::string watch(const std::string& prefix, Revision after, std::uint64_t wait_ms) {
+  return "/watch?starts=" + escaped(prefix) + "&since=" + std::to_string(after.value) +
+         "&hold_ms=" + std::to_string(wait_ms);
+}
+
+std::string lease_renewal(LeaseId id) { return lease(id) + "/touch"; }
+std::string lease(LeaseId id) { return std::string(kLeases) + "/" + std::to_string(id.value); }
+
+}  // namespace path
+
+}  // namespace dockdyke::wire
