Scale the leader's staleness bounds to the deployment's cancel and lease times

The loopback check uses short leases: with a fixed 5 s margin and 2 s watches the leader's view always counted as stale, so every report was answered 503 and nothing ran. Ruled out: report parsing, token handling.

--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -49,6 +49,13 @@
   return std::chrono::duration<double>(services_.loop.now() - std::min(renewed_at_, watched_at_)).count();
 }
 
+double Term::patience_s() const {
+  const double spare = std::max(0.0, config_.cancel_s - config_.lease_s);
+  return spare - std::min(limits::kCancelMargin, limits::kCancelMarginShare * spare);
+}
+
+double Term::watch_hold_s() const { return std::min(limits::kWatchHold, patience_s() / limits::kWatchesPerPatience); }
+
 void Term::start(const std::vector<wire::MachineType>& types) {
   if (!types.empty()) push(core::TypesChanged{types});
   net::spawn(own(shared_from_this()));
@@ -106,8 +113,7 @@
   const Self self = shared_from_this();
   auto& loop = services_.loop;
   // A leader cut off from the store must not keep alive for long what others may have cancelled meanwhile.
-  const double patience = std::max(0.0, config_.cancel_s - config_.lease_s - limits::kCancelMargin);
-  if (staleness() >= patience || reports_.size() >= limits::kReportQueue) co_return come_back();
+  if (staleness() >= patience_s() || reports_.size() >= limits::kReportQueue) co_return come_back();
   const MachineId machine = report.machine;
   const net::OneShot<core::ReportFate> fate(loop);
   reports_.push_back({std::move(report), fate});
@@ -121,7 +127,7 @@
     co_await saved.wait_until(deadline);
   }
   if (!alive_) co_return come_back();
-  const auto orders = cluster_.orders_for(machine, staleness() < limits::kFreshForStarts, now());
+  const auto orders = cluster_.orders_for(machine, staleness() < limits::kFreshForStarts * watch_hold_s(), now());
   cluster_.answered(machine, now());
   co_return answer(200, wire::report_answer(token(), orders));
 }
@@ -202,7 +208,7 @@
   while (self->alive_) {
     const auto asked_at = self->services_.loop.now();
     store::Result<wire::KeyEvents> events =
-        co_await state.watch(core::key::kOpenPrefix, self->watch_from_, limits::kWatchHold);
+        co_await state.watch(core::key::kOpenPrefix, self->watch_from_, self->watch_hold_s());
     if (!self->alive_) co_return;
     if (events.outcome == Outcome::expired) {
       // Too much has happened since: compare with the present keys.
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -64,7 +64,11 @@
   void overtaken();
   wire::Guard leader_guard() const;
   core::Time now() const;
+  // Seconds since the last moment of which everything is known to us.
   double staleness() const;
+  // How stale the view may get before workers are no longer answered.
+  double patience_s() const;
+  double watch_hold_s() const;
 
   Services services_;
   const core::Config& config_;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -57,7 +57,7 @@
 // Seconds one call may take; usual answers take some ms, rare ones a few hundred.
 inline constexpr double kStateTimeout = 1.5;
 // Seconds a watch may wait at the service. Short, since a completed watch is what proves the leader's view fresh.
-inline constexpr double kWatchHold = 2.0;
+inline constexpr double kWatchHold = 1.0;
 // Items asked for per page of a listing.
 inline constexpr std::uint64_t kListPage = 200;
 // Share of the service's request and write limits a leader uses; the rest is for the other controllers.
@@ -134,16 +134,20 @@
 inline constexpr double kDrift = 0.0005;
 // Seconds added where a lease's end is concluded, for timers and answers in flight.
 inline constexpr double kLeaseMargin = 1.0;
-// Seconds held back from `cancel_s - lease_s` while the leader's view is stale.
+// Share of `cancel_s - lease_s` held back while the leader's view is stale, and its most in seconds.
+inline constexpr double kCancelMarginShare = 0.25;
 inline constexpr double kCancelMargin = 5.0;
+// Watches that fit into the rest, at the least: a view must be renewed several times before it is too old.
+inline constexpr double kWatchesPerPatience = 6.0;
 // Seconds an answer to a worker waits for the records that its own report made necessary, so that the
 // answer can carry `forget` and the next `run`; a worker waits 4 s.
 inline constexpr double kAnswerWait = 0.25;
 // Reports are due every report_s give or take a quarter; after this many periods a machine counts as silent.
 inline constexpr double kSilentReports = 2.2;
 
-// Seconds without proof that the leader's view is fresh after which it starts nothing; a watch takes 2 s.
-inline constexpr double kFreshForStarts = 4.5;
+// Watches' length without proof that the leader's view is fresh after which it starts nothing. A view is up to
+// two watches old in ordinary times.
+inline constexpr double kFreshForStarts = 4.0;
 // Reports waiting for the owner of the state; one more is told to come back, which holds the workers back.
 inline constexpr std::size_t kReportQueue = 256;
 // Seconds between the leader's looks at its timers (leases, notices); the fleet is counted every kTick.
