--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -173,7 +173,7 @@
 // A task past this many times its estimate is no longer trusted to end soon (DESIGN's first doubt).
 inline constexpr double kOverdue = 1.6;
 // Machines kept at the least and free, and the most: defaults of the operators' flags.
-inline constexpr std::uint32_t kMinMachines = 2;
+inline constexpr std::uint32_t kMinMachines = 0;
 inline constexpr std::uint32_t kFreeMachines = 0;
 inline constexpr std::uint32_t kMaxMachines = 200;
 // An empty machine is kept for this share of its type's boot time before it goes back: about the point at
