--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -209,8 +209,8 @@
 // Bounds of that correction; owners' estimates are said to be wrong by half, sometimes by more.
 inline constexpr double kLearnLeast = 0.3;
 inline constexpr double kLearnMost = 4.0;
-// Seconds of a job's slack worth of one step of urgency in ordering within a priority.
-inline constexpr double kNoDeadlineSlack = 600.0;
+// Seconds after which a job should be done for which neither its owner nor an objective says so.
+inline constexpr double kNoDeadline = 600.0;
 // A job waiting this long (s) without room may stop work of lower priority, unless its deadline is nearer.
 inline constexpr double kPreemptWait = 6.0;
 // Seconds between passes that look for work to stop.
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -146,11 +146,18 @@
   // placement.cpp
   struct Ranked {
     Job* job;
-    bool guaranteed;  // within its team's guarantee
-    bool hopeless;    // can't be in time any more
-    double slack;
+    bool guaranteed = false;  // within its team's guarantee
+    // Which of its objectives it is meant to reach; one past the last when none can be reached any more.
+    std::size_t goal = 0;
+    double due = 0;   // when that objective wants it done
+    double work = 0;  // CPU seconds still to be started
   };
-  std::vector<Ranked> ranked_jobs(Time now);
+  using Ranking = std::vector<Ranked>;
+  // Orders jobs of one priority so that as many as possible are in time on `cpus`, of which `busy_s` are spoken
+  // for by more important work. Returns the seconds spoken for after them.
+  double order_by_goals(Ranking::iterator first, Ranking::iterator last, double cpus, double busy_s, Time now) const;
+  void aim(Ranked& ranked, std::size_t goal, Time now) const;
+  Ranking ranked_jobs(Time now);
   bool allowed_on(const Job& job, const std::string& type, const std::string& zone, bool spot) const;
   bool accepts(const Machine& machine, Time now) const;
   // How many of the job's tasks may yet start in each zone, given where its others are now.
@@ -164,7 +171,7 @@
   bool nearly_done(const Job& job, const Placement& placement, Time now) const;
   void make_room(Time now);
   void give_place(Job& job, Machine& machine, Time now);
-  double deadline_s(const Job& job) const;
+  std::vector<double> goals_s(const Job& job) const;
 
   // autoscaler.cpp
   void scale(Time now);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,6 +1,7 @@
 // Which task goes where: order of jobs, choice of machines, and room made by stopping lesser work.
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 #include "constants.hpp"
 #include "core/cluster.hpp"
@@ -39,18 +40,63 @@
   return progress >= limits::kNearlyDone && progress <= limits::kOverdue;
 }
 
-double Cluster::deadline_s(const Job& job) const {
-  if (job.spec.deadline_s) return *job.spec.deadline_s;
-  double least = 0;
+// Seconds after its submission at which the owners want the job done, most ambitious first.
+std::vector<double> Cluster::goals_s(const Job& job) const {
+  if (job.spec.deadline_s) return {*job.spec.deadline_s};
+  std::vector<double> goals;
   for (const auto& objective : config_.objectives)
-    if (objective.job_class == job.spec.job_class && objective.within_s > 0 &&
-        (least == 0 || objective.within_s < least))
-      least = objective.within_s;
-  return least > 0 ? least : limits::kNoDeadlineSlack;
+    if (objective.job_class == job.spec.job_class && objective.within_s > 0) goals.push_back(objective.within_s);
+  std::sort(goals.begin(), goals.end());
+  if (goals.empty()) goals.push_back(limits::kNoDeadline);
+  return goals;
 }
 
-std::vector<Cluster::Ranked> Cluster::ranked_jobs(Time now) {
-  std::vector<Ranked> ranked;
+void Cluster::aim(Ranked& ranked, std::size_t goal, Time now) const {
+  const auto goals = goals_s(*ranked.job);
+  const double expected = expected_s(*ranked.job);
+  for (ranked.goal = goal; ranked.goal < goals.size(); ++ranked.goal) {
+    ranked.due = ranked.job->submitted + goals[ranked.goal];
+    if (now + expected <= ranked.due) return;
+  }
+  // Among those that are late anyway the oldest goes first, so that none waits for ever.
+  ranked.due = ranked.job->submitted;
+}
+
+double Cluster::order_by_goals(Ranking::iterator first, Ranking::iterator last, double cpus, double busy_s,
+                               Time now) const {
+  // Moore's rule, once for each step of ambition: in order of their due times, and whenever one would be late,
+  // the job with the most work so far is put off to its next objective. One huge job delays many small ones
+  // otherwise, and all of them are late.
+  for (std::size_t goal = 0; first != last; ++goal) {
+    auto level = std::partition(first, last, [&](const Ranked& each) { return each.goal <= goal; });
+    auto by_due = [](const Ranked& a, const Ranked& b) {
+      return std::tie(a.due, a.job->spec.id) < std::tie(b.due, b.job->spec.id);
+    };
+    std::sort(first, level, by_due);
+    std::vector<Ranked> kept;
+    std::vector<Ranked> put_off;
+    double work = 0;
+    for (auto each = first; each != level; ++each) {
+      kept.push_back(*each);
+      work += each->work;
+      const bool has_goal = each->goal < goals_s(*each->job).size();
+      if (!has_goal || now + busy_s + work / cpus + expected_s(*each->job) <= each->due) continue;
+      auto largest = std::max_element(kept.begin(), kept.end(),
+                                      [](const Ranked& a, const Ranked& b) { return a.work < b.work; });
+      work -= largest->work;
+      put_off.push_back(*largest);
+      kept.erase(largest);
+    }
+    for (auto& each : put_off) aim(each, each.goal + 1, now);
+    first = std::copy(kept.begin(), kept.end(), first);
+    std::copy(put_off.begin(), put_off.end(), first);
+    busy_s += work / cpus;
+  }
+  return busy_s;
+}
+
+Cluster::Ranking Cluster::ranked_jobs(Time now) {
+  Ranking ranked;
   std::vector<Job*> unfinished;
   for (auto& [id, job] : jobs_)
     if (!job.cancelled && !job.complete()) unfinished.push_back(&job);
@@ -72,17 +118,28 @@
   }
   for (Job* job : unfinished) {
     if (job->waiting() == 0) continue;
-    const double slack = job->submitted + deadline_s(*job) - now - expected_s(*job);
-    ranked.push_back({job, guaranteed_.contains(job->spec.id), slack < 0, slack});
+    Ranked each;
+    each.job = job;
+    each.guaranteed = guaranteed_.contains(job->spec.id);
+    each.work = job->waiting() * job->spec.each.cpus * expected_s(*job);
+    aim(each, 0, now);
+    ranked.push_back(each);
   }
-  std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) {
+  auto before = [](const Ranked& a, const Ranked& b) {
     if (a.guaranteed != b.guaranteed) return a.guaranteed;
-    if (a.job->spec.priority != b.job->spec.priority) return a.job->spec.priority > b.job->spec.priority;
-    if (a.hopeless != b.hopeless) return b.hopeless;
-    // Among the late ones the oldest first, so that none waits for ever.
-    if (a.hopeless) return a.job->submitted < b.job->submitted;
-    return a.slack < b.slack;
-  });
+    return a.job->spec.priority > b.job->spec.priority;
+  };
+  std::sort(ranked.begin(), ranked.end(), before);
+  double cpus = 1;
+  for (const auto& [id, machine] : machines_)
+    if (const auto* type = type_named(machine.type); type && !machine.returning && !machine.draining)
+      cpus += type->size.cpus;
+  double busy_s = 0;
+  for (auto first = ranked.begin(); first != ranked.end();) {
+    auto last = std::upper_bound(first, ranked.end(), *first, before);
+    busy_s = order_by_goals(first, last, cpus, busy_s, now);
+    first = last;
+  }
   return ranked;
 }
 
