--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -229,7 +229,7 @@
 inline constexpr int kUnlisted = 2;
 // Seconds in which a machine known only from a record must show up in list or report, beside the list's lag.
 inline constexpr double kUnknownMachine = 8.0;
-// Share of the cloud's calls within one tick that may be rentals.
+// Share of the cloud's calls that may be rentals.
 inline constexpr double kRentShare = 0.4;
 
 // ---- Settings ---------------------------------------------------------------------------------------------
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -156,8 +156,9 @@
 }
 
 std::optional<Offer> Cluster::best_offer(const Job& job, std::size_t tasks, const std::set<std::string>& zones,
-                                         Time now) const {
+                                         const std::map<Offer, std::size_t>& planned, Time now) const {
   std::map<std::string, std::size_t> in_zone;
+  for (const auto& [offer, count] : planned) in_zone[std::get<1>(offer)] += count;
   for (const auto& [id, machine] : machines_) ++in_zone[machine.zone];
   for (const auto& [id, pending] : rents_) in_zone[pending.rental.zone] += pending.rental.count;
   std::optional<Offer> best;
@@ -215,6 +216,7 @@
   }
 
   std::map<Offer, std::size_t> needed;
+  count_.waiting_tasks = 0;
   std::size_t looked_at = 0;
   std::map<std::string, std::size_t> limit_taken;
   for (const auto& ranked : ranked_jobs(now)) {
@@ -251,7 +253,7 @@
       std::set<std::string> open;
       for (const auto& [zone, n] : zones)
         if (n > 0) open.insert(zone);
-      const auto offer = best_offer(job, left, open, now);
+      const auto offer = best_offer(job, left, open, needed, now);
       if (!offer) break;
       const auto& [type, zone, spot] = *offer;
       bins.push_back({type, zone, spot, type_named(type)->size});
@@ -275,13 +277,34 @@
   effects_.emplace_back(Rent{rental, false});
 }
 
+std::size_t Cluster::fleet_size() const {
+  std::size_t size = 0;
+  for (const auto& [id, machine] : machines_) size += !machine.returning && machine.state != MachineState::gone;
+  for (const auto& [id, pending] : rents_) size += pending.rental.count;
+  return size;
+}
+
+std::size_t Cluster::rent_for_waiting(std::size_t most, Time now) {
+  // Not only at the tick: every offer that is refused or partly filled would cost a whole tick before the next
+  // is tried (31 s for the first fleet of a day, seen in simulation).
+  auto calls = static_cast<std::size_t>(std::max(1.0, config_.cloud_rps * limits::kHousekeeping * limits::kRentShare));
+  std::size_t renting = 0;
+  for (const auto& [offer, machines] : needed_machines(most, now)) {
+    if (calls-- == 0) break;
+    rent(offer, machines, now);
+    renting += machines;
+  }
+  return renting;
+}
+
 void Cluster::scale(Time now) {
+  const std::size_t waiting = count_.waiting_tasks;
   count_ = {};
+  count_.waiting_tasks = waiting;
   std::vector<const Machine*> idle;
-  std::size_t fleet = 0;
+  const std::size_t fleet = fleet_size();
   for (const auto& [id, machine] : machines_) {
     if (machine.returning || machine.state == MachineState::gone) continue;
-    ++fleet;
     if (machine.state == MachineState::booting) {
       if (!late(machine, now)) ++count_.booting;
       continue;
@@ -298,22 +321,12 @@
       ++count_.overwhelmed;
     }
   }
-  for (const auto& [id, pending] : rents_) {
-    fleet += pending.rental.count;
-    count_.booting += pending.rental.count;
-  }
+  for (const auto& [id, pending] : rents_) count_.booting += pending.rental.count;
   count_.machines = fleet;
   count_.free = idle.size() + count_.booting;
 
   const std::size_t most = config_.max_machines > fleet ? config_.max_machines - fleet : 0;
-  auto needed = needed_machines(most, now);
-  std::size_t renting = 0;
-  auto calls = static_cast<std::size_t>(std::max(1.0, config_.cloud_rps * limits::kTick * limits::kRentShare));
-  for (const auto& [offer, machines] : needed) {
-    if (calls-- == 0) break;
-    rent(offer, machines, now);
-    renting += machines;
-  }
+  const std::size_t renting = rent_for_waiting(most, now);
 
   // The buffer: at the minimum fleet, and above it as far as the operators want machines kept free.
   const std::size_t wanted_free = config_.free_machines;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -608,6 +608,9 @@
     scaled_at_ = now;
     review_machines(now);
     scale(now);
+  } else {
+    const std::size_t fleet = fleet_size();
+    if (fleet < config_.max_machines) rent_for_waiting(config_.max_machines - fleet, now);
   }
   place_wanted_ = true;  // pauses may have run out
 }
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -175,12 +175,15 @@
 
   // autoscaler.cpp
   void scale(Time now);
+  // Rents for tasks that have waited long enough; returns how many machines.
+  std::size_t rent_for_waiting(std::size_t most, Time now);
+  std::size_t fleet_size() const;
   void review_machines(Time now);
   void give_back(std::vector<MachineId> machines, Time now);
   const wire::MachineType* type_named(const std::string& name) const;
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
   std::optional<Offer> best_offer(const Job& job, std::size_t tasks, const std::set<std::string>& zones,
-                                  Time now) const;
+                                  const std::map<Offer, std::size_t>& planned, Time now) const;
   bool late(const Machine& machine, Time now) const;
   void rent(const Offer& offer, std::size_t count, Time now);
 
