--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -172,6 +172,12 @@
 inline constexpr double kShortWait = 2.0;
 // A task past this many times its estimate is no longer trusted to end soon (DESIGN's first doubt).
 inline constexpr double kOverdue = 1.6;
+// A task that ends within this share of a boot frees its room before a machine rented instead would be up.
+inline constexpr double kSoonBoots = 0.8;
+// Weight of the newest count in the lasting load on ordinary machines (per tick: a memory of about 50 s), and the
+// machines' worth of it, beyond what is coming, at which a spot machine is rented in their place.
+inline constexpr double kLoadSmoothing = 0.1;
+inline constexpr double kReplaceAt = 0.7;
 // Machines kept at the least and free, and the most: defaults of the operators' flags.
 inline constexpr std::uint32_t kMinMachines = 0;
 inline constexpr std::uint32_t kFreeMachines = 0;
@@ -179,6 +185,9 @@
 // An empty machine is kept for this share of its type's boot time before it goes back: about the point at
 // which keeping it has cost as much as booting another (DESIGN's second doubt).
 inline constexpr double kHoldBoots = 0.6;
+// The same for ordinary machines, which cost about three times as much to keep but, replaced by a spot one, not
+// to boot again.
+inline constexpr double kHoldBootsOrdinary = 0.2;
 // Seconds a rental refused for lack of capacity rests, first and at most (doubling between).
 inline constexpr double kRefusedFirst = 10.0;
 inline constexpr double kRefusedMost = 60.0;
@@ -221,7 +230,7 @@
 // a machine on which something failed lately.
 inline constexpr double kLeftoverWeight = 8.0;
 inline constexpr double kOpenWeight = 4.0;
-inline constexpr double kOrdinaryWeight = 6.0;
+inline constexpr double kOrdinaryWeight = 40.0;
 inline constexpr double kFailedWeight = 30.0;
 // Share of a fetch still to wait for when another task has it under way.
 inline constexpr double kSharedFetch = 0.5;
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -201,7 +201,7 @@
       if (!accepts(machine, now)) continue;
       for (const auto& task : machine.placements) {
         const Job& job = jobs_.at(task.job);
-        if (nearly_done(job, job.placements.at(task.index), now)) free += job.spec.each;
+        if (frees_soon(job, job.placements.at(task.index), now)) free += job.spec.each;
       }
     } else if (machine.state != MachineState::booting || late(machine, now)) {
       continue;
@@ -297,6 +297,39 @@
   return renting;
 }
 
+void Cluster::replace_ordinary(std::size_t most, Time now) {
+  // Work on ordinary machines that may use spot ones: these cost a fraction, and once they are up the ordinary
+  // ones run empty and go back. Only a load that has lasted counts, as a boot outlasts most single tasks.
+  std::map<std::string, double> load;
+  std::map<std::string, double> coming;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.returning || !type_named(machine.type)) continue;
+    if (machine.spot) {
+      const bool ready = accepts(machine, now) && machine.placements.empty();
+      if (ready || (machine.state == MachineState::booting && !late(machine, now))) coming[machine.type] += 1;
+    } else if (machine.state == MachineState::up && !machine.placements.empty()) {
+      load[machine.type] += std::all_of(machine.placements.begin(), machine.placements.end(), [&](const auto& task) {
+        return jobs_.at(task.job).spec.spot_allowed;
+      });
+    }
+  }
+  for (const auto& [id, pending] : rents_)
+    if (pending.rental.spot) coming[pending.rental.type] += static_cast<double>(pending.rental.count);
+  for (const auto& [name, type] : types_) {
+    double& lasting = ordinary_load_[name];
+    lasting += limits::kLoadSmoothing * (load[name] - lasting);
+    if (lasting - coming[name] < limits::kReplaceAt || most == 0 || type.spot_price >= type.price) continue;
+    std::optional<Offer> offer;
+    for (const auto& zone : type.zones) {
+      auto refusal = refusals_.find({name, zone, true});
+      if (!offer && (refusal == refusals_.end() || now >= refusal->second.until)) offer = Offer{name, zone, true};
+    }
+    if (!offer) continue;
+    rent(*offer, 1, now);
+    --most;
+  }
+}
+
 void Cluster::scale(Time now) {
   const std::size_t waiting = count_.waiting_tasks;
   count_ = {};
@@ -327,6 +360,7 @@
 
   const std::size_t most = config_.max_machines > fleet ? config_.max_machines - fleet : 0;
   const std::size_t renting = rent_for_waiting(most, now);
+  replace_ordinary(most - std::min(most, renting), now);
 
   // The buffer: at the minimum fleet, and above it as far as the operators want machines kept free.
   const std::size_t wanted_free = config_.free_machines;
@@ -358,7 +392,8 @@
   std::vector<MachineId> back;
   std::size_t idle_left = idle.size();
   for (const Machine* machine : idle) {
-    if (now - machine->idle_since < limits::kHoldBoots * type_named(machine->type)->boot_s) continue;
+    const double boots = machine->spot ? limits::kHoldBoots : limits::kHoldBootsOrdinary;
+    if (now - machine->idle_since < boots * type_named(machine->type)->boot_s) continue;
     ++count_.underwhelmed;
     if (idle_left <= wanted_free || fleet - back.size() <= config_.min_machines) break;
     back.push_back(machine->id);
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -178,6 +178,9 @@
   // Rents for tasks that have waited long enough; returns how many machines.
   std::size_t rent_for_waiting(std::size_t most, Time now);
   std::size_t fleet_size() const;
+  void replace_ordinary(std::size_t most, Time now);
+  // The task ends before a machine rented now would be up.
+  bool frees_soon(const Job& job, const Placement& placement, Time now) const;
   void review_machines(Time now);
   void give_back(std::vector<MachineId> machines, Time now);
   const wire::MachineType* type_named(const std::string& name) const;
@@ -216,6 +219,7 @@
   bool place_wanted_ = false;
   Time preempted_at_ = 0;
   Time scaled_at_ = 0;
+  std::map<std::string, double> ordinary_load_;  // lasting load, in machines, by type
   FleetCount count_;
 };
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -40,6 +40,20 @@
   return progress >= limits::kNearlyDone && progress <= limits::kOverdue;
 }
 
+bool Cluster::frees_soon(const Job& job, const Placement& placement, Time now) const {
+  if (nearly_done(job, placement, now)) return true;
+  const double expected = expected_s(job);
+  if (expected <= 0) return false;
+  const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+  if (ran > limits::kOverdue * expected) return false;
+  double boot_s = 0;
+  for (const auto& [name, type] : types_)
+    if (allowed_on(job, name, type.zones.empty() ? "" : type.zones.front(), job.spec.spot_allowed) &&
+        (boot_s == 0 || type.boot_s < boot_s))
+      boot_s = type.boot_s;
+  return expected - ran < limits::kSoonBoots * boot_s;
+}
+
 // Seconds after its submission at which the owners want the job done, most ambitious first.
 std::vector<double> Cluster::goals_s(const Job& job) const {
   if (job.spec.deadline_s) return {*job.spec.deadline_s};
