--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -155,7 +155,8 @@
   give_back(std::move(lost), now);
 }
 
-std::optional<Offer> Cluster::best_offer(const Job& job, std::size_t tasks, const std::set<std::string>& zones,
+std::optional<Offer> Cluster::best_offer(const Job& job, std::size_t tasks, bool ordinary,
+                                         const std::set<std::string>& zones,
                                          const std::map<Offer, std::size_t>& planned, Time now) const {
   std::map<std::string, std::size_t> in_zone;
   for (const auto& [offer, count] : planned) in_zone[std::get<1>(offer)] += count;
@@ -170,7 +171,7 @@
     for (const auto& zone : type.zones) {
       if (!zones.contains(zone)) continue;
       for (bool spot : {true, false}) {
-        if (!allowed_on(job, name, zone, spot)) continue;
+        if (!allowed_on(job, name, zone, spot) || (!spot && !ordinary)) continue;
         auto refusal = refusals_.find({name, zone, spot});
         if (refusal != refusals_.end() && now < refusal->second.until) continue;
         const double price = (spot ? type.spot_price : type.price) * machines;
@@ -185,6 +186,14 @@
   return best;
 }
 
+bool Cluster::needs_ordinary(const Ranked& ranked, Time now) const {
+  const Job& job = *ranked.job;
+  if (!job.spec.spot_allowed) return true;
+  const bool has_goal = ranked.goal < goals_s(job).size();
+  if (!has_goal || job.spec.estimate_s <= 0) return now - job.waiting_since >= limits::kOrdinaryPatience;
+  return ranked.due - now - expected_s(job) - quickest_boot_s(job) < limits::kOrdinarySlack;
+}
+
 std::map<Offer, std::size_t> Cluster::needed_machines(std::size_t most, Time now) {
   struct Bin {
     std::string type;
@@ -249,11 +258,12 @@
       return type && allowed_on(job, bin.type, bin.zone, bin.spot) && job.spec.each.fits_into(type->size);
     });
     if (any_holds && now - job.waiting_since < limits::kShortWait) continue;
+    const bool ordinary = needs_ordinary(ranked, now);
     while (left > 0 && most > 0) {
       std::set<std::string> open;
       for (const auto& [zone, n] : zones)
         if (n > 0) open.insert(zone);
-      const auto offer = best_offer(job, left, open, needed, now);
+      const auto offer = best_offer(job, left, ordinary, open, needed, now);
       if (!offer) break;
       const auto& [type, zone, spot] = *offer;
       bins.push_back({type, zone, spot, type_named(type)->size});
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -179,13 +179,16 @@
   std::size_t rent_for_waiting(std::size_t most, Time now);
   std::size_t fleet_size() const;
   void replace_ordinary(std::size_t most, Time now);
+  double quickest_boot_s(const Job& job) const;
+  // Waiting for a spot machine any longer would cost the job its objective.
+  bool needs_ordinary(const Ranked& ranked, Time now) const;
   // The task ends before a machine rented now would be up.
   bool frees_soon(const Job& job, const Placement& placement, Time now) const;
   void review_machines(Time now);
   void give_back(std::vector<MachineId> machines, Time now);
   const wire::MachineType* type_named(const std::string& name) const;
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
-  std::optional<Offer> best_offer(const Job& job, std::size_t tasks, const std::set<std::string>& zones,
+  std::optional<Offer> best_offer(const Job& job, std::size_t tasks, bool ordinary, const std::set<std::string>& zones,
                                   const std::map<Offer, std::size_t>& planned, Time now) const;
   bool late(const Machine& machine, Time now) const;
   void rent(const Offer& offer, std::size_t count, Time now);
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -46,12 +46,17 @@
   if (expected <= 0) return false;
   const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
   if (ran > limits::kOverdue * expected) return false;
+  return expected - ran < limits::kSoonBoots * quickest_boot_s(job);
+}
+
+double Cluster::quickest_boot_s(const Job& job) const {
   double boot_s = 0;
-  for (const auto& [name, type] : types_)
-    if (allowed_on(job, name, type.zones.empty() ? "" : type.zones.front(), job.spec.spot_allowed) &&
-        (boot_s == 0 || type.boot_s < boot_s))
-      boot_s = type.boot_s;
-  return expected - ran < limits::kSoonBoots * boot_s;
+  for (const auto& [name, type] : types_) {
+    const auto& named = job.spec.machine_types;
+    const bool allowed = !named || std::find(named->begin(), named->end(), name) != named->end();
+    if (allowed && job.spec.each.fits_into(type.size) && (boot_s == 0 || type.boot_s < boot_s)) boot_s = type.boot_s;
+  }
+  return boot_s;
 }
 
 // Seconds after its submission at which the owners want the job done, most ambitious first.
