--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -140,6 +140,10 @@
     counted_s += limits::kHousekeeping;
     if (counted_s < limits::kTick) continue;
     counted_s = 0;
+    for (const auto& [offer, use] : self->cluster_.usage_by_offer())
+      spdlog::debug("event=fleet type={} zone={} spot={} machines={} booting={} empty={} cpus={:.0f} of={:.0f}",
+                    std::get<0>(offer), std::get<1>(offer), std::get<2>(offer), use.machines, use.booting, use.empty,
+                    use.cpus_used, use.cpus);
     const auto count = self->cluster_.count();
     spdlog::info("event=tick machines={} booting={} overwhelmed={} underwhelmed={} free={} waiting={} jobs={} stale={:.1f}",
                  count.machines, count.booting, count.overwhelmed, count.underwhelmed, count.free,
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -287,6 +287,20 @@
   effects_.emplace_back(Rent{rental, false});
 }
 
+std::map<Offer, OfferUse> Cluster::usage_by_offer() const {
+  std::map<Offer, OfferUse> out;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.state == MachineState::gone) continue;
+    OfferUse& use = out[{machine.type, machine.zone, machine.spot}];
+    ++use.machines;
+    use.booting += machine.state == MachineState::booting;
+    use.empty += machine.state == MachineState::up && machine.placements.empty();
+    if (const auto* type = type_named(machine.type)) use.cpus += type->size.cpus;
+    use.cpus_used += machine.used.cpus;
+  }
+  return out;
+}
+
 std::size_t Cluster::fleet_size() const {
   std::size_t size = 0;
   for (const auto& [id, machine] : machines_) size += !machine.returning && machine.state != MachineState::gone;
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -72,6 +72,15 @@
   std::size_t waiting_tasks = 0;
 };
 
+// How the machines of one type, zone and kind are used.
+struct OfferUse {
+  std::size_t machines = 0;
+  std::size_t booting = 0;
+  std::size_t empty = 0;
+  double cpus = 0;
+  double cpus_used = 0;
+};
+
 class Cluster {
  public:
   Cluster(Config config, Token token, Time now, std::int64_t time_of_day_ms);
@@ -95,6 +104,7 @@
   Token token() const { return token_; }
   bool loaded() const { return loaded_; }
   FleetCount count() const { return count_; }
+  std::map<Offer, OfferUse> usage_by_offer() const;
 
   // Views for tests and logs.
   const Job* job(const JobId& id) const;
