--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -280,6 +280,10 @@
   if (self->alive_) {
     const auto& failed = committed.value.failed_guards;
     if (committed) {
+      if (const core::Job* job = self->cluster_.job(save.id); job && save.final)
+        spdlog::debug("event=job_done id={} class={} tasks={} estimate={:.0f} submitted={:.1f} took={:.1f}", save.id.value,
+                      job->spec.job_class, job->spec.tasks, job->spec.estimate_s, job->submitted,
+                      self->now() - job->submitted);
       self->push(core::SaveDone{save.id, save.number, committed.value.revision});
     } else if (committed.outcome == Outcome::conflict &&
                std::find(failed.begin(), failed.end(), store::kLeaderKey) != failed.end()) {
