--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -217,12 +217,10 @@
 inline constexpr std::size_t kDemandTasks = 2'000;
 // Tasks placed in one batch, so that one pass over a huge job stays short.
 inline constexpr std::size_t kPlacePerBatch = 400;
-// Jobs' worth of trust in owners' estimates before a class's own run times outweigh them.
-inline constexpr double kTrustInOwners = 2.0;
-// Share of its expected time a job may still need when its objective is given up: many tasks are quicker.
-inline constexpr double kHopeful = 0.7;
+// Weight of the newest observation in a class's correction of estimates.
+inline constexpr double kLearnRate = 0.15;
 // Bounds of that correction; owners' estimates are said to be wrong by half, sometimes by more.
-inline constexpr double kLearnLeast = 0.25;
+inline constexpr double kLearnLeast = 0.3;
 inline constexpr double kLearnMost = 4.0;
 // Seconds after which a job should be done for which neither its owner nor an objective says so.
 inline constexpr double kNoDeadline = 600.0;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -436,7 +436,7 @@
         job.done[index] = true;
         ++job.done_count;
         if (placement.running_since > placement.placed_at && placement.sent)
-          estimates_.observe(job.spec.job_class, job.spec.estimate_s, now - placement.running_since, 1.0 / job.spec.tasks);
+          estimates_.observe(job.spec.job_class, job.spec.estimate_s, now - placement.running_since);
         machine.failed_jobs.clear();
         // It does run: the machines on which it failed are the ones at fault.
         for (const auto& id : job.failed_on)
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -75,7 +75,7 @@
   const double expected = expected_s(*ranked.job);
   for (ranked.goal = goal; ranked.goal < goals.size(); ++ranked.goal) {
     ranked.due = ranked.job->submitted + goals[ranked.goal];
-    if (now + limits::kHopeful * expected <= ranked.due) return;
+    if (now + expected <= ranked.due) return;
   }
   // Among those that are late anyway the oldest goes first, so that none waits for ever.
   ranked.due = ranked.job->submitted;
