--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -233,7 +233,10 @@
   for (const auto& ranked : ranking) {
     if (now < ranked.job->not_before || now - ranked.job->waiting_since < limits::kShortWait) continue;
     const auto types = types_for(*ranked.job);
-    if (types.size() == 1) scarce.insert(types.front()->name);
+    if (types.size() != 1 || scarce.contains(types.front()->name)) continue;
+    // Where another one can be rented there is no need to be careful with those that are there.
+    const std::set<std::string> zones(types.front()->zones.begin(), types.front()->zones.end());
+    if (!best_offer(*ranked.job, 1, needs_ordinary(ranked, now), {}, zones, {}, now)) scarce.insert(types.front()->name);
   }
   return scarce;
 }
