--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -182,8 +182,6 @@
 // job waits for them at the most.
 inline constexpr double kOrdinarySlack = 5.0;
 inline constexpr double kOrdinaryPatience = 60.0;
-// Seconds a task waits for room on spot machines that are up before it goes to an ordinary one.
-inline constexpr double kOrdinaryWait = 12.0;
 // Machines kept at the least and free, and the most: defaults of the operators' flags.
 inline constexpr std::uint32_t kMinMachines = 0;
 inline constexpr std::uint32_t kFreeMachines = 0;
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -173,9 +173,7 @@
   // How many of the job's tasks may yet start in each zone, given where its others are now.
   std::map<std::string, std::size_t> zone_room(const Job& job) const;
   Machine* best_machine(const Job& job, const std::map<std::string, std::size_t>& zones,
-                        const std::set<std::string>& avoided, bool ordinary, Time now);
-  // Whether the job may as well go to an ordinary machine now, or should wait a little for a spot one.
-  bool takes_ordinary(const Ranked& ranked, Time now) const;
+                        const std::set<std::string>& avoided, Time now);
   // Machine types that some waiting job can't do without, and those of them that another job leaves alone.
   std::set<std::string> scarce_types(const Ranking& ranking, Time now) const;
   std::set<std::string> avoided_types(const Ranked& ranked, const std::set<std::string>& scarce, Time now) const;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -262,14 +262,13 @@
 }
 
 Machine* Cluster::best_machine(const Job& job, const std::map<std::string, std::size_t>& zones,
-                               const std::set<std::string>& avoided, bool ordinary, Time now) {
+                               const std::set<std::string>& avoided, Time now) {
   Machine* best = nullptr;
   double best_cost = 0;
   double largest = 1;
   for (const auto& [name, type] : types_) largest = std::max(largest, type.size.cpus);
   for (auto& [id, machine] : machines_) {
     if (!accepts(machine, now) || job.failed_on.contains(id) || avoided.contains(machine.type)) continue;
-    if (!machine.spot && !ordinary) continue;
     const auto free = room(machine);
     if (!job.spec.each.fits_into(free) || !allowed_on(job, machine.type, machine.zone, machine.spot)) continue;
     auto zone = zones.find(machine.zone);
@@ -295,18 +294,6 @@
   return best;
 }
 
-bool Cluster::takes_ordinary(const Ranked& ranked, Time now) const {
-  const Job& job = *ranked.job;
-  if (now - job.waiting_since >= limits::kOrdinaryWait || needs_ordinary(ranked, now)) return true;
-  // Used while they are there, ordinary machines would never run empty and go back.
-  return std::none_of(machines_.begin(), machines_.end(), [&](const auto& each) {
-    const Machine& machine = each.second;
-    const auto* type = type_named(machine.type);
-    return machine.spot && type && accepts(machine, now) && job.spec.each.fits_into(type->size) &&
-           allowed_on(job, machine.type, machine.zone, true);
-  });
-}
-
 void Cluster::give_place(Job& job, Machine& machine, Time now) {
   TaskIndex index;
   if (!job.returned.empty()) {
@@ -345,9 +332,8 @@
     std::size_t allowed = limit_room(job);
     auto zones = zone_room(job);
     const auto avoided = avoided_types(ranked, scarce, now);
-    const bool ordinary = takes_ordinary(ranked, now);
     while (job.waiting() > 0 && allowed > 0) {
-      Machine* machine = best_machine(job, zones, avoided, ordinary, now);
+      Machine* machine = best_machine(job, zones, avoided, now);
       if (!machine) break;
       give_place(job, *machine, now);
       --allowed;
