--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -344,10 +344,14 @@
   }
   for (const auto& [id, pending] : rents_)
     if (pending.rental.spot) coming[pending.rental.type] += static_cast<double>(pending.rental.count);
+  // The memory outlasts the load: alone it went on renting for two minutes after the last job of a day.
+  const bool any_work = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& each) {
+    return !each.second.cancelled && !each.second.complete();
+  });
   for (const auto& [name, type] : types_) {
     double& lasting = ordinary_load_[name];
     lasting += limits::kLoadSmoothing * (load[name] - lasting);
-    if (lasting - coming[name] < limits::kReplaceAt || most == 0 || type.spot_price >= type.price) continue;
+    if (!any_work || lasting - coming[name] < limits::kReplaceAt || most == 0 || type.spot_price >= type.price) continue;
     std::optional<Offer> offer;
     for (const auto& zone : type.zones) {
       auto refusal = refusals_.find({name, zone, true});
--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -136,6 +136,32 @@
   EXPECT_EQ(seen<GiveBack>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
 }
 
+TEST_F(JudgementTest, LastingWorkOnAnOrdinaryMachineRentsASpotOneAndItsEndStopsThat) {
+  loaded();
+  auto worker = ready_worker("n-1", "a", false);
+  auto spec = job_spec("job-1", 2);
+  spec.estimate_s = 400;
+  submit(spec);
+  exchange(worker);
+  worker.shows("job-1", 0, 1, TaskState::running);
+  worker.shows("job-1", 1, 1, TaskState::running);
+  for (int i = 0; i < 60 && seen<Rent>().empty(); ++i) {
+    pass(2);
+    exchange(worker);
+  }
+  const auto rents = seen<Rent>();
+  ASSERT_EQ(rents.size(), 1u);
+  EXPECT_TRUE(rents[0].rental.spot);
+  cluster.apply(RentRefused{rents[0].rental.id}, now);
+  cluster.apply(JobOffRecord{JobId("job-1")}, now);
+  worker.tasks.clear();
+  for (int i = 0; i < 60; ++i) {
+    pass(2);
+    exchange(worker);
+  }
+  EXPECT_EQ(seen<Rent>().size(), 1u);
+}
+
 TEST_F(JudgementTest, MachineThatNeverBootsIsDeleted) {
   loaded();
   cluster.apply(MachinesListed{{{MachineId("n-1"), "small", "a", true, wire::MachineStage::booting, 1}}, now}, now);
