--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -273,6 +273,36 @@
   for (const auto& save : saves) EXPECT_LE(save.transaction.puts.size() + save.transaction.removals.size(), 8u);
 }
 
+// Small tasks strewn over the only machines that hold large ones kept these out for minutes (an incident).
+TEST_F(JudgementTest, SmallTasksLeaveAMachineToTheLargeOneThatNeedsIt) {
+  auto large = small_type("large", 16, 4.0, 1.2);
+  cluster.apply(TypesChanged{{small_type(), large}}, now);
+  loaded();
+  Worker worker{"n-1"};
+  worker.type = "large";
+  exchange(worker);
+  exchange(worker);
+  auto filler = job_spec("job-1", 1, 8);
+  submit(filler);
+  settle();
+  auto big = job_spec("job-2", 1, 16);
+  big.deadline_s = 60;
+  submit(big);
+  for (int i = 0; i < 5; ++i) {
+    pass(1);
+    exchange(worker);
+    for (const auto& rent : seen<Rent>()) cluster.apply(RentRefused{rent.rental.id}, now);
+  }
+  auto small = job_spec("job-3", 2);
+  small.priority = wire::Priority::high;
+  small.deadline_s = 300;
+  submit(small);
+  settle();
+  EXPECT_EQ(cluster.job(JobId("job-3"))->placements.size(), 0u);
+  pass(4);
+  EXPECT_EQ(seen<Rent>().back().rental.type, "small");
+}
+
 class GuaranteeTest : public ClusterTest {
  protected:
   static Config guaranteed() {
