--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -16,6 +16,11 @@
 HttpResponse answer(int status, const wire::Json& body) {
   return {status, wire::encode(body), std::nullopt};
 }
+std::int64_t time_of_day_ms() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
 HttpResponse come_back() {
   return {503, {}, limits::kRetryAfter};
 }
@@ -26,12 +31,6 @@
   return stage == Stage::done || stage == Stage::cancelled;
 }
 
-std::int64_t time_of_day_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::optional<wire::JobSpec> read_spec(const std::string& body) {
   auto value = wire::decode(body);
   if (!value) return std::nullopt;
--- a/src/app/frontend.hpp
+++ b/src/app/frontend.hpp
@@ -2,6 +2,7 @@
 // does not answer, on any other controller.
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -20,6 +21,7 @@
 
 net::HttpResponse answer(int status, const wire::Json& body);
 net::HttpResponse come_back();
+std::int64_t time_of_day_ms();
 
 class Frontend {
  public:
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -18,12 +18,6 @@
 
 namespace {
 
-std::int64_t time_of_day_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 core::Time seconds_of(net::TimePoint time) {
   return std::chrono::duration<double>(time.time_since_epoch()).count();
 }
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -115,6 +115,11 @@
 
 // ---- The tick ---------------------------------------------------------------------------------------------
 
+bool Cluster::resting(const Offer& offer, Time now) const {
+  auto refusal = refusals_.find(offer);
+  return refusal != refusals_.end() && now < refusal->second.until;
+}
+
 bool Cluster::late(const Machine& machine, Time now) const {
   const auto* type = type_named(machine.type);
   return type && now - machine.rented_at > limits::kLateBoots * type->boot_s;
@@ -176,8 +181,7 @@
       if (!zones.contains(zone)) continue;
       for (bool spot : {true, false}) {
         if (!allowed_on(job, name, zone, spot) || (!spot && !ordinary)) continue;
-        auto refusal = refusals_.find({name, zone, spot});
-        if (refusal != refusals_.end() && now < refusal->second.until) continue;
+        if (resting({name, zone, spot}, now)) continue;
         const double price = (spot ? type.spot_price : type.price) * machines;
         const std::pair rank(price, in_zone[zone]);
         if (!best || rank < best_rank) {
@@ -362,11 +366,8 @@
         type.spot_price >= type.price)
       continue;
     std::optional<Offer> offer;
-    for (const auto& zone : type.zones) {
-      auto refusal = refusals_.find({name, zone, true});
-      if (!offer && (refusal == refusals_.end() || now >= refusal->second.until))
-        offer = Offer{name, zone, true};
-    }
+    for (const auto& zone : type.zones)
+      if (!offer && !resting({name, zone, true}, now)) offer = Offer{name, zone, true};
     if (!offer) continue;
     rent(*offer, 1, now);
     --most;
@@ -417,8 +418,7 @@
     for (const auto& [name, type] : types_)
       for (const auto& zone : type.zones) {
         const Offer offer{name, zone, true};
-        auto refusal = refusals_.find(offer);
-        if (refusal != refusals_.end() && now < refusal->second.until) continue;
+        if (resting(offer, now)) continue;
         if (!cheapest || type.spot_price < price) {
           cheapest = offer;
           price = type.spot_price;
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -249,6 +249,8 @@
                                   const std::set<std::string>& avoided, const std::set<std::string>& zones,
                                   const std::map<Offer, std::size_t>& planned, Time now) const;
   bool late(const Machine& machine, Time now) const;
+  // The offer was refused lately.
+  bool resting(const Offer& offer, Time now) const;
   void rent(const Offer& offer, std::size_t count, Time now);
 
   Config config_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -69,10 +69,6 @@
   return *this;
 }
 
-void Socket::shut_down() {
-  ::shutdown(state_->fd, SHUT_RDWR);
-}
-
 auto Socket::ready(Direction direction, TimePoint deadline) {
   struct Awaiter {
     State& state;
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -46,8 +46,6 @@
   // True when the peer has closed or sent something unasked for: an idle connection not worth reusing.
   bool stale();
   int fd() const { return state_->fd; }
-  // Ends a read or write in progress from outside; the owner then sees `closed`.
-  void shut_down();
 
  private:
   struct State {
