Fill machines in use first, images first; removals stand in line one at a time

Change: jobs with time to spare wait one round of reports for room on machines already in use, cheap ones first; jobs whose image is there choose before the others for 10 s; rentals are recorded first; one removal at a time and a page every 4.5 writes of the leader's budget; no wake-ups while all saves are under way (the leader span).

Ruled out: fetches (at most 3% of placed tasks wait for an image), rejected pages (none).

--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include "app/frontend.hpp"
@@ -91,7 +92,10 @@
 net::Task<void> Term::own(Self self) {
   auto& cluster = self->cluster_;
   while (self->alive_) {
-    const double due_s = cluster.save_due_in(self->now()).value_or(limits::kHousekeeping);
+    // With all saves under way, as in an outage, there is nothing to wake for: the end of one rings the bell.
+    const bool may_save = self->saving_ < limits::kSavesInFlight;
+    const double due_s = may_save ? cluster.save_due_in(self->now()).value_or(limits::kHousekeeping)
+                                  : limits::kHousekeeping;
     co_await self->work_.wait_for(net::seconds(std::min(limits::kHousekeeping, due_s)));
     if (!self->alive_) break;
     auto commands = std::exchange(self->commands_, {});
@@ -188,6 +192,8 @@
           std::get<0>(offer), std::get<1>(offer), std::get<2>(offer), use.machines, use.booting, use.empty,
           use.cpus_used, use.cpus);
     const auto count = self->cluster_.count();
+    const auto tasks = self->cluster_.placed_tasks();
+    spdlog::info("event=tasks unsent={} fetching={} running={}", tasks.unsent, tasks.fetching, tasks.running);
     spdlog::info(
         "event=tick machines={} booting={} overwhelmed={} underwhelmed={} free={} waiting={} jobs={} "
         "stale={:.1f}",
@@ -404,18 +410,19 @@
   co_return false;
 }
 
-net::Task<bool> Term::record(const std::string& key, const wire::Json& value) {
+net::Task<bool> Term::record(std::string key, wire::Json value, Urgency urgency) {
   wire::Transaction txn;
   txn.guards.push_back({key, Revision(0)});
-  txn.puts.push_back({key, value, {}});
-  const bool written = co_await write_guarded(std::move(txn), Urgency::normal);
+  txn.puts.push_back({std::move(key), std::move(value), {}});
+  const bool written = co_await write_guarded(std::move(txn), urgency);
   co_return written;
 }
 
 net::Task<void> Term::carry_out(Self self, core::Rent effect) {
   const std::string key = core::key::kRentPrefix + effect.rental.id.value;
   if (!effect.recorded) {
-    const bool written = co_await self->record(key, wire::to_json(effect.rental));
+    // Ahead of what else waits: a day's first rentals stood in line behind its first submissions for 5 s.
+    const bool written = co_await self->record(key, wire::to_json(effect.rental), Urgency::high);
     if (!written) co_return;
   }
   bool answered = false;
@@ -435,14 +442,12 @@
     }
   }
   if (!answered) co_return;
-  core::Discard record;
-  record.keys.push_back(key);
-  co_await carry_out(self, std::move(record));
+  self->discard({key});
 }
 
 net::Task<void> Term::carry_out(Self self, core::GiveBack effect) {
   if (!effect.recorded) {
-    const bool written = co_await self->record(effect.record, wire::machine_names(effect.machines));
+    const bool written = co_await self->record(effect.record, wire::machine_names(effect.machines), Urgency::normal);
     if (!written) co_return;
   }
   bool answered = false;
@@ -456,20 +461,32 @@
   }
   if (!answered) co_return;
   self->push(core::MachinesDeleted{effect.record, effect.machines});
-  core::Discard record;
-  record.keys.push_back(effect.record);
-  co_await carry_out(self, std::move(record));
+  self->discard({effect.record});
 }
 
 net::Task<void> Term::carry_out(Self self, core::Discard effect) {
-  for (std::size_t first = 0; first < effect.keys.size(); first += self->config_.txn_ops) {
+  self->discard(std::move(effect.keys));
+  co_return;
+}
+
+void Term::discard(std::vector<std::string> keys) {
+  std::move(keys.begin(), keys.end(), std::back_inserter(discarded_));
+  if (!discarding_) net::spawn(remove_discarded(shared_from_this()));
+}
+
+net::Task<void> Term::remove_discarded(Self self) {
+  // One transaction at a time: each in line on its own, they once filled the line and had submissions refused.
+  self->discarding_ = true;
+  while (self->alive_ && !self->discarded_.empty()) {
+    const auto count = std::min(self->discarded_.size(), self->config_.txn_ops);
+    const auto end = self->discarded_.begin() + static_cast<std::ptrdiff_t>(count);
     wire::Transaction txn;
-    const auto end = std::min(effect.keys.size(), first + self->config_.txn_ops);
-    txn.removals.assign(effect.keys.begin() + static_cast<std::ptrdiff_t>(first),
-                        effect.keys.begin() + static_cast<std::ptrdiff_t>(end));
+    txn.removals.assign(self->discarded_.begin(), end);
+    self->discarded_.erase(self->discarded_.begin(), end);
     const bool written = co_await self->write_guarded(std::move(txn), Urgency::background);
-    if (!written) co_return;
+    if (!written) break;
   }
+  self->discarding_ = false;
 }
 
 }  // namespace dockdyke::app
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -1,6 +1,7 @@
 // One leadership: the owner of the cluster's state, its queue of commands, and the calls its effects need.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -79,8 +80,10 @@
   void release_held();
   // Writes under the leader's guard until it is done; false when the term has ended.
   net::Task<bool> write_guarded(wire::Transaction transaction, store::Urgency urgency);
-  net::Task<bool> record(const std::string& key, const wire::Json& value);
+  net::Task<bool> record(std::string key, wire::Json value, store::Urgency urgency);
   void start_saves();
+  void discard(std::vector<std::string> keys);
+  static net::Task<void> remove_discarded(Self self);
   void note_final(const JobId& id);
   void overtaken();
   wire::Guard leader_guard() const;
@@ -101,6 +104,8 @@
   std::vector<WaitingReport> reports_;
   std::map<MachineId, net::OneShot<bool>> held_;  // answers that wait
   std::size_t saving_ = 0;
+  std::deque<std::string> discarded_;  // keys to be removed when there is budget
+  bool discarding_ = false;
   Revision watch_from_;
   net::TimePoint renewed_at_;
   net::TimePoint watched_at_;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -180,8 +180,9 @@
 inline constexpr std::size_t kPageMargin = 256;
 // Pages on their way at once; the next collects changes meanwhile.
 inline constexpr std::size_t kPagesInFlight = 3;
-// Writes of the leader's budget per page written: its own, that of its removal, and one left to others.
-inline constexpr double kWritesPerPage = 3;
+// Writes of the leader's budget per page written: its own, that of its removal, and as much again for
+// submissions, ends of jobs and rentals. At 3 in all, pages left those too little in the peaks.
+inline constexpr double kWritesPerPage = 4.5;
 // Pages kept before the oldest is carried over into the newest: this many, and one more for so many entries.
 inline constexpr std::size_t kPagesKept = 24;
 inline constexpr std::size_t kEntriesPerPage = 200;
@@ -251,6 +252,12 @@
 inline constexpr double kRankEvery = 0.1;
 // Waiting jobs below which they are ordered anew at every change.
 inline constexpr std::size_t kCheapRanking = 32;
+// Report periods within which every machine has reported: a quarter more than one, with the answer's way.
+inline constexpr double kReportRound = 1.3;
+// Rounds of reports a job must have to spare before it waits for a better machine.
+inline constexpr double kHastyRounds = 3;
+// Seconds a job leaves machines that lack its image to jobs whose images are there.
+inline constexpr double kImagePatience = 10.0;
 // Steps (CPUs, GB) to which free room is rounded down when machines are counted in groups.
 inline constexpr double kRoomStep = 0.5;
 // Weight of the newest observation in a class's correction of estimates.
@@ -279,7 +286,7 @@
 // Seconds in which a machine known only from a record must show up in list or report, beside the list's lag.
 inline constexpr double kUnknownMachine = 8.0;
 // Share of the cloud's calls that may be rentals.
-inline constexpr double kRentShare = 0.4;
+inline constexpr double kRentShare = 0.6;
 
 // ---- Logging ----------------------------------------------------------------------------------------------
 // Bins of the histogram of submission times and their range (s); a bin is a quarter wider than the last.
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -359,6 +359,17 @@
   return out;
 }
 
+PlacedTasks Cluster::placed_tasks() const {
+  PlacedTasks out;
+  for (const auto& [id, job] : jobs_)
+    for (const auto& [index, placement] : job.placements) {
+      out.unsent += !placement.sent && !placement.shown && !placement.inherited;
+      out.fetching += placement.shown && placement.state == wire::TaskState::fetching;
+      out.running += placement.shown && placement.state == wire::TaskState::running;
+    }
+  return out;
+}
+
 std::size_t Cluster::fleet_size() const {
   std::size_t size = 0;
   for (const auto& [id, machine] : machines_)
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -128,6 +128,13 @@
   std::size_t waiting_tasks = 0;
 };
 
+// Tasks that have a place, by how far they have come.
+struct PlacedTasks {
+  std::size_t unsent = 0;
+  std::size_t fetching = 0;
+  std::size_t running = 0;
+};
+
 // How the machines of one type, zone and kind are used.
 struct OfferUse {
   std::size_t machines = 0;
@@ -165,6 +172,7 @@
   Token token() const { return token_; }
   bool loaded() const { return loaded_; }
   FleetCount count() const { return count_; }
+  PlacedTasks placed_tasks() const;
   std::map<Offer, OfferUse> usage_by_offer() const;
 
   // Views for tests and logs.
@@ -237,7 +245,8 @@
   // placement.cpp
   struct Ranked {
     Job* job;
-    bool starving = false;    // no task of it has begun for far too long
+    bool starving = false;  // no task of it has begun for far too long
+    bool hasty = false;     // it can't wait a report period for a better machine
     bool guaranteed = false;  // within its team's guarantee
     std::vector<double> goals;  // seconds after its submission
     // Which of its objectives it is meant to reach; one past the last when none can be reached any more.
@@ -265,8 +274,15 @@
   std::optional<std::map<std::string, std::size_t>> zone_room(const Job& job) const;
   // Seconds of a task's time that its place on this machine would cost; nothing where it can't go.
   std::optional<double> cost_of(const Job& job, const Machine& machine, double largest_cpus) const;
+  static bool fetches_image(const Machine& machine, const Job& job);
   // Gives places to as many of the job's tasks as possible on machines that wait for an answer.
-  std::size_t place_job(const Ranked& ranked, std::size_t most, Time now);
+  std::size_t place_job(const Ranked& ranked, bool any_image, std::size_t most, Time now);
+  // Seconds in which every machine has reported.
+  double report_round_s() const;
+  // Machines in the order in which work should fill them: those in use before empty ones, cheap ones before
+  // ordinary ones.
+  static std::size_t tier(const Machine& machine);
+  void find_open_tier(Time now);
   // Machine types that some waiting job can't do without, and those of them that another job leaves alone.
   void find_scarce_types(Time now);
   std::set<std::size_t> avoided_types(const Ranked& ranked, Time now) const;
@@ -329,6 +345,7 @@
   bool ranking_stale_ = true;
   double fleet_cpus_ = 1;
   std::set<std::size_t> scarce_;
+  std::size_t open_tier_ = 0;  // the tiers up to this one have room enough for all that waits
   Estimates estimates_;
   std::vector<Effect> effects_;
 
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -111,15 +111,20 @@
 }
 
 void Cluster::carry_over_oldest(PageRecord& record, Page& page, std::size_t& bytes) const {
-  auto oldest = std::find_if(pages_.begin(), pages_.end(), [](const auto& each) { return each.second.confirmed; });
-  if (oldest == pages_.end()) return;
+  std::size_t surplus = pages_.size() - std::min(pages_.size(), pages_kept());
   std::map<std::uint32_t, std::vector<TaskIndex>> live;
-  for (const auto& entry : oldest->second.entries) {
-    auto job = by_serial_.find(entry.job);
-    if (job == by_serial_.end() || job->second->complete()) continue;
-    const TaskSlot& slot = job->second->tasks[entry.index];
-    // A task whose state has changed since comes with its change.
-    if (slot.recorded == oldest->first && slot.durable()) live[entry.job].push_back(entry.index);
+  std::size_t carried = 0;
+  for (auto oldest = pages_.begin(); oldest != pages_.end() && surplus > 0; ++oldest, --surplus) {
+    if (!oldest->second.confirmed || carried >= limits::kEntriesPerPage) break;
+    for (const auto& entry : oldest->second.entries) {
+      auto job = by_serial_.find(entry.job);
+      if (job == by_serial_.end() || job->second->complete()) continue;
+      const TaskSlot& slot = job->second->tasks[entry.index];
+      // A task whose state has changed since comes with its change.
+      if (slot.recorded != oldest->first || !slot.durable()) continue;
+      live[entry.job].push_back(entry.index);
+      ++carried;
+    }
   }
   for (auto& [serial, tasks] : live) {
     std::sort(tasks.begin(), tasks.end());
@@ -152,7 +157,7 @@
   page_wanted_ = page_wanted_ && full;
   paged_at_ = now;
   if (page.entries.empty()) return std::nullopt;
-  if (pages_.size() > pages_kept()) carry_over_oldest(record, page, bytes);
+  carry_over_oldest(record, page, bytes);
 
   ++next_page_number_;
   ++pages_in_flight_;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,5 +1,6 @@
 // Which task goes where: order of jobs, choice of machines, and room made by stopping lesser work.
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <queue>
 #include <tuple>
@@ -170,6 +171,13 @@
     each.goals = goals_s(*job);
     each.work = job->waiting() * job->spec.each.cpus * job->expected_s;
     aim(each, 0, now);
+    const bool starts_count = std::any_of(
+        config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
+          return objective.kind == Objective::Kind::wait && objective.job_class == job->spec.job_class &&
+                 objective.within_s < 2 * report_round_s();
+        });
+    each.hasty = starts_count || each.goal >= each.goals.size() ||
+                 each.due - now - job->expected_s < limits::kHastyRounds * report_round_s();
     ranking_.push_back(std::move(each));
   }
   auto before = [](const Ranked& a, const Ranked& b) {
@@ -183,6 +191,7 @@
     busy_s = order_by_goals(first, last, fleet_cpus_, busy_s, now);
     first = last;
   }
+  find_open_tier(now);
 }
 
 bool Cluster::allowed_on(const Job& job, std::size_t type, const std::string& zone, bool spot) const {
@@ -278,6 +287,11 @@
   return avoided;
 }
 
+bool Cluster::fetches_image(const Machine& machine, const Job& job) {
+  return std::any_of(machine.placements.begin(), machine.placements.end(),
+                     [&](const PlacedTask& task) { return task.job->spec.image == job.spec.image; });
+}
+
 std::optional<double> Cluster::cost_of(const Job& job, const Machine& machine, double largest_cpus) const {
   if (!allowed_on(job, machine.type_number, machine.zone, machine.spot)) return std::nullopt;
   const auto free = room(machine);
@@ -289,10 +303,7 @@
   if (!machine.failed_jobs.empty()) cost += limits::kFailedWeight;
   if (!machine.has_image(job.spec.image)) {
     const double fetch = job.spec.image_gb / std::max(0.01, type_of(machine)->fetch_gb_per_s);
-    const bool under_way =
-        std::any_of(machine.placements.begin(), machine.placements.end(),
-                    [&](const PlacedTask& task) { return task.job->spec.image == job.spec.image; });
-    cost += under_way ? fetch * limits::kSharedFetch : fetch;
+    cost += fetches_image(machine, job) ? fetch * limits::kSharedFetch : fetch;
   }
   return cost;
 }
@@ -314,7 +325,33 @@
   put_placement(job, index, placement);
 }
 
-std::size_t Cluster::place_job(const Ranked& ranked, std::size_t most, Time now) {
+double Cluster::report_round_s() const {
+  return limits::kReportRound * config_.report_s;
+}
+
+std::size_t Cluster::tier(const Machine& machine) {
+  return (machine.spot ? 0 : 2) + (machine.placements.empty() ? 1 : 0);
+}
+
+void Cluster::find_open_tier(Time now) {
+  wire::Resources smallest{std::numeric_limits<double>::max(), 0, std::numeric_limits<double>::max()};
+  double waiting = 0;
+  for (const auto& ranked : ranking_) waiting += ranked.job->waiting() * ranked.job->spec.each.cpus;
+  for (const auto& [id, job] : jobs_)
+    smallest = {std::min(smallest.cpus, job.spec.each.cpus), 0,
+                std::min(smallest.memory_gb, job.spec.each.memory_gb)};
+  constexpr std::size_t kTiers = 4;
+  std::array<double, kTiers> free{};
+  for (const auto& [id, machine] : machines_) {
+    if (!type_of(machine) || !accepts(machine, now)) continue;
+    const auto left = room(machine);
+    if (smallest.fits_into(left)) free[tier(machine)] += left.cpus;
+  }
+  open_tier_ = 0;
+  for (double sum = free[0]; open_tier_ + 1 < kTiers && sum < waiting; sum += free[open_tier_]) ++open_tier_;
+}
+
+std::size_t Cluster::place_job(const Ranked& ranked, bool any_image, std::size_t most, Time now) {
   Job& job = *ranked.job;
   // A job that failed on every machine in reach starts over with all of them.
   if (job.failed_on.size() >= limits::kSuspectMachines) job.failed_on.clear();
@@ -322,10 +359,16 @@
   const auto avoided = avoided_types(ranked, now);
   double largest = 1;
   for (const auto& type : types_) largest = std::max(largest, type.size.cpus);
+  // Within a round all machines report, and the better ones among them may do. Strewn over whatever reported
+  // first, the work of a quiet hour kept the whole fleet up.
+  const double waited = now - job.waiting_since;
+  const bool picky = !ranked.hasty && job.spec.spot_allowed && waited < report_round_s();
   std::vector<std::pair<double, Machine*>> offers;
   for (Machine* machine : open_answers_) {
     ++looks_;
     if (!accepts(*machine, now) || avoided.contains(machine->type_number)) continue;
+    if (picky && tier(*machine) > open_tier_) continue;
+    if (!any_image && !machine->has_image(job.spec.image) && !fetches_image(*machine, job)) continue;
     if (const auto cost = cost_of(job, *machine, largest)) offers.emplace_back(*cost, machine);
   }
   std::sort(offers.begin(), offers.end(), [](const auto& a, const auto& b) {
@@ -367,18 +410,23 @@
   }
   if (!any) return;
   std::size_t placed = 0;
-  for (const auto& ranked : ranking(now)) {
-    Job& job = *ranked.job;
-    ++looks_;
-    if (job.waiting() == 0 || now < job.not_before) continue;
-    bool fits = false;
-    for (std::size_t i = 0; i < types_.size() && !fits; ++i)
-      fits = job.suits_type(i) && job.spec.each.fits_into(most_free[i]);
-    if (!fits) continue;
-    placed += place_job(ranked, limits::kPlacePerBatch - placed, now);
-    if (placed >= limits::kPlacePerBatch) {
-      place_wanted_ = true;
-      return;
+  const auto& line = ranking(now);
+  // First those that find their image there, and those that can't wait for one; then whoever is next.
+  for (const bool any_image : {false, true}) {
+    for (const auto& ranked : line) {
+      Job& job = *ranked.job;
+      ++looks_;
+      if (job.waiting() == 0 || now < job.not_before) continue;
+      bool fits = false;
+      for (std::size_t i = 0; i < types_.size() && !fits; ++i)
+        fits = job.suits_type(i) && job.spec.each.fits_into(most_free[i]);
+      if (!fits) continue;
+      const bool takes_any = any_image || ranked.hasty || now - job.waiting_since >= limits::kImagePatience;
+      placed += place_job(ranked, takes_any, limits::kPlacePerBatch - placed, now);
+      if (placed >= limits::kPlacePerBatch) {
+        place_wanted_ = true;
+        return;
+      }
     }
   }
   place_wanted_ = ranking_stale_;  // some job is not in line yet
