One look-up of machine types, one end of transactions

The number of a machine type was searched for in five places and the two ends of a transaction shared their first half.

--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -33,12 +33,11 @@
   // in.
   for (auto& type : types_) type.zones.clear();
   for (const auto& type : command.types) {
-    auto known =
-        std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type.name; });
-    if (known == types_.end()) {
+    const auto known = type_number(type.name);
+    if (known == kNoType) {
       types_.push_back(type);
     } else {
-      *known = type;
+      types_[known] = type;
     }
   }
   for (auto& [id, job] : jobs_) set_suits(job);
@@ -244,9 +243,8 @@
     add(machine.type_number, machine.zone, machine.spot, free, 1);
   }
   for (const auto& [id, pending] : rents_)
-    for (std::size_t type = 0; type < types_.size(); ++type)
-      if (types_[type].name == pending.rental.type)
-        add(type, pending.rental.zone, pending.rental.spot, types_[type].size, pending.rental.count);
+    if (const auto type = type_number(pending.rental.type); type != kNoType)
+      add(type, pending.rental.zone, pending.rental.spot, types_[type].size, pending.rental.count);
   std::vector<Rooms> rooms;
   for (const auto& [key, count] : counts) {
     const auto& [type, zone, spot, cpus, gpus, memory] = key;
@@ -320,12 +318,13 @@
       const auto offer = best_offer(job, left, ordinary, avoided, zones, in_zone, now);
       if (!offer) break;
       const auto& [type, zone, spot] = *offer;
-      const auto* rented = type_named(type);
-      const std::size_t per_machine = std::max<std::size_t>(1, fitting(job.spec.each, rented->size));
+      const auto rented = type_number(type);
+      const auto& size = types_[rented].size;
+      const std::size_t per_machine = std::max<std::size_t>(1, fitting(job.spec.each, size));
       // As many as it needs, but turn by turn where its zones or the next offer matter.
       const std::size_t count =
           zones ? 1 : std::min({most, (left + per_machine - 1) / per_machine, limits::kMaxRent});
-      rooms.push_back({static_cast<std::size_t>(rented - types_.data()), zone, spot, rented->size, count});
+      rooms.push_back({rented, zone, spot, size, count});
       needed[*offer] += count;
       in_zone[zone] += count;
       most -= count;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -224,9 +224,7 @@
 void Cluster::describe(Machine& machine, const std::string& type, const std::string& zone, bool spot) {
   if (machine.type != type || machine.type_number == kNoType) {
     machine.type = type;
-    auto found =
-        std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type; });
-    machine.type_number = found == types_.end() ? kNoType : static_cast<std::size_t>(found - types_.begin());
+    machine.type_number = type_number(type);
   }
   if (machine.zone != zone) machine.zone = zone;
   machine.spot = spot;
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -237,6 +237,9 @@
   void carry_over_oldest(PageRecord& record, Page& page, std::size_t& bytes) const;
   std::size_t pages_kept() const;
   void page_confirmed(PageNumber number);
+  // The transaction needs no repeating; returns the jobs whose end it was to record.
+  std::vector<JobId> save_ended(std::uint64_t number);
+  void end_on_record(const JobId& id, Time now);
   void entry_dead(PageNumber number);
   void forget_entries(const Job& job);
   void discard(std::vector<std::string> keys);
@@ -261,9 +264,10 @@
   bool starving(const Job& job, Time now) const;
   bool allowed_on(const Job& job, std::size_t type, const std::string& zone, bool spot) const;
   bool accepts(const Machine& machine, Time now) const;
-  // How many of the job's tasks may yet start in each zone, given where its others are now. Nothing: any
-  // number in any zone.
-  std::optional<std::map<std::string, std::size_t>> zone_room(const Job& job) const;
+  // Tasks that may yet start in each zone. Nothing: any number in any zone.
+  using Zones = std::optional<std::map<std::string, std::size_t>>;
+  // How many of the job's, given where its others are now.
+  Zones zone_room(const Job& job) const;
   // Seconds of a task's time that its place on this machine would cost; nothing where it can't go.
   std::optional<double> cost_of(const Job& job, const Machine& machine, double largest_cpus) const;
   static bool fetches_image(const Machine& machine, const Job& job);
@@ -301,11 +305,10 @@
   bool frees_soon(const Job& job, const Placement& placement, Time now) const;
   void review_machines(Time now);
   void give_back(std::vector<MachineId> machines, Time now);
-  const wire::MachineType* type_named(const std::string& name) const;
+  std::size_t type_number(const std::string& name) const;
   const wire::MachineType* type_of(const Machine& machine) const;
   std::vector<Rooms> free_rooms(Time now) const;
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
-  using Zones = std::optional<std::map<std::string, std::size_t>>;
   std::optional<Offer> best_offer(const Job& job, std::size_t tasks, bool ordinary,
                                   const std::set<std::size_t>& avoided, const Zones& zones,
                                   const std::map<std::string, std::size_t>& in_zone, Time now) const;
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -206,36 +206,33 @@
   effects_.emplace_back(Discard{std::move(keys)});
 }
 
-void Cluster::on(const SaveDone& command, Time now) {
-  auto save = saves_.find(command.number);
-  if (save == saves_.end()) return;
+std::vector<JobId> Cluster::save_ended(std::uint64_t number) {
+  auto save = saves_.find(number);
+  if (save == saves_.end()) return {};
   const InFlight in_flight = std::move(save->second);
   saves_.erase(save);
+  // A page in conflict exists: an earlier try wrote it whose answer got lost. Nobody else uses its key.
   if (in_flight.page != 0) page_confirmed(in_flight.page);
-  for (const auto& id : in_flight.finals) {
-    auto found = jobs_.find(id);
-    if (found == jobs_.end()) continue;
-    found->second.finishing = false;
-    drop_if_gone(found->second, now);
-  }
+  return in_flight.finals;
+}
+
+void Cluster::end_on_record(const JobId& id, Time now) {
+  auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  found->second.finishing = false;
+  drop_if_gone(found->second, now);
+}
+
+void Cluster::on(const SaveDone& command, Time now) {
+  for (const auto& id : save_ended(command.number)) end_on_record(id, now);
 }
 
 void Cluster::on(const SaveConflict& command, Time now) {
-  auto save = saves_.find(command.number);
-  if (save == saves_.end()) return;
-  const InFlight in_flight = std::move(save->second);
-  saves_.erase(save);
-  // A page that exists was written by an earlier try whose answer got lost: nobody else uses its key.
-  if (in_flight.page != 0) page_confirmed(in_flight.page);
-  for (const auto& id : in_flight.finals) {
-    auto found = jobs_.find(id);
-    if (found == jobs_.end()) continue;
+  for (const auto& id : save_ended(command.number)) {
     const bool off_record =
         std::find(command.failed.begin(), command.failed.end(), key::open(id)) != command.failed.end();
     if (off_record) {
-      // Its end is on record, by an earlier try or as a cancellation.
-      found->second.finishing = false;
-      drop_if_gone(found->second, now);
+      end_on_record(id, now);  // by an earlier try or as a cancellation
     } else {
       unfinished_finals_.push_back(id);
     }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -23,10 +23,10 @@
 
 }  // namespace
 
-const wire::MachineType* Cluster::type_named(const std::string& name) const {
+std::size_t Cluster::type_number(const std::string& name) const {
   auto found =
       std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == name; });
-  return found == types_.end() ? nullptr : &*found;
+  return found == types_.end() ? kNoType : static_cast<std::size_t>(found - types_.begin());
 }
 
 const wire::MachineType* Cluster::type_of(const Machine& machine) const {
@@ -173,7 +173,7 @@
   return room;
 }
 
-std::optional<std::map<std::string, std::size_t>> Cluster::zone_room(const Job& job) const {
+Cluster::Zones Cluster::zone_room(const Job& job) const {
   if (!job.spec.one_zone && !job.spec.spread) return std::nullopt;
   constexpr auto kAny = std::numeric_limits<std::size_t>::max();
   std::map<std::string, std::size_t> zones;
