--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -20,27 +20,26 @@
       settings_(std::move(settings)),
       state_(loop, transport, settings_.state, {settings_.state_rps, settings_.state_write_rps}),
       cloud_(loop, transport, settings_.cloud, settings_.cluster.cloud_rps),
-      frontend_(loop, state_, settings_.cluster,
-                {[this](const core::JobRecord& record, Revision version) {
-                   if (term_) term_->push(core::JobSubmitted{record, version});
-                 },
-                 [this](const JobId& id) {
-                   if (term_) term_->push(core::JobOffRecord{id});
-                 },
-                 [this](const JobId& id) {
-                   return term_ ? term_->progress(id) : std::optional<core::Progress>();
-                 },
-                 [this](std::vector<JobId> ids) { return ask_leader(std::move(ids)); }}),
+      frontend_(
+          loop, state_, settings_.cluster,
+          {[this](const core::JobRecord& record, Revision version) {
+             if (term_) term_->push(core::JobSubmitted{record, version});
+           },
+           [this](const JobId& id) {
+             if (term_) term_->push(core::JobOffRecord{id});
+           },
+           [this](const JobId& id) { return term_ ? term_->progress(id) : std::optional<core::Progress>(); },
+           [this](std::vector<JobId> ids) { return ask_leader(std::move(ids)); }}),
       election_(loop, state_, settings_.host,
                 {[this](std::optional<std::string> host) { leader_ = std::move(host); },
                  [this](store::Leadership leadership, net::TimePoint asked_at) {
                    leader_ = settings_.host;
-                   term_ = std::make_shared<Term>(Term::Services{loop_, state_, cloud_}, settings_.cluster,
-                                                  leadership, asked_at,
-                                                  Term::Listener{[this] { election_.step_down(); },
-                                                                 [this](const JobId& id, const wire::JobStatus& status) {
-                                                                   frontend_.remember(id, status);
-                                                                 }});
+                   term_ = std::make_shared<Term>(
+                       Term::Services{loop_, state_, cloud_}, settings_.cluster, leadership, asked_at,
+                       Term::Listener{[this] { election_.step_down(); },
+                                      [this](const JobId& id, const wire::JobStatus& status) {
+                                        frontend_.remember(id, status);
+                                      }});
                    set_share();
                    term_->start(types_);
                  },
@@ -184,7 +183,8 @@
   if (!address || loop_.now() < leader_rests_until_) co_return std::nullopt;
   std::optional<HttpResponse> response = co_await peer::forward(transport_, *address, std::move(request));
   leader_was_slow_ = response ? 0 : leader_was_slow_ + 1;
-  if (leader_was_slow_ >= limits::kSlowInARow) leader_rests_until_ = loop_.now() + net::seconds(limits::kLeaderRest);
+  if (leader_was_slow_ >= limits::kSlowInARow)
+    leader_rests_until_ = loop_.now() + net::seconds(limits::kLeaderRest);
   // What the leader can't take, perhaps because the store refuses it alone, this controller may be able to.
   if (response && response->status == 503) co_return std::nullopt;
   co_return response;
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -94,8 +94,8 @@
   while (self->alive_) {
     // With all saves under way, as in an outage, there is nothing to wake for: the end of one rings the bell.
     const bool may_save = self->saving_ < limits::kSavesInFlight;
-    const double due_s = may_save ? cluster.save_due_in(self->now()).value_or(limits::kHousekeeping)
-                                  : limits::kHousekeeping;
+    const double due_s =
+        may_save ? cluster.save_due_in(self->now()).value_or(limits::kHousekeeping) : limits::kHousekeeping;
     co_await self->work_.wait_for(net::seconds(std::min(limits::kHousekeeping, due_s)));
     if (!self->alive_) break;
     auto commands = std::exchange(self->commands_, {});
@@ -145,8 +145,8 @@
     if (hold == core::Hold::none) co_return;
     // Work given to an idle machine meanwhile has the same time to get on record as any other.
     if (hold == core::Hold::save && !saving_since) saving_since = loop.now();
-    const auto until = saving_since ? *saving_since + net::seconds(limits::kAnswerWait)
-                                    : began + net::seconds(idle_s);
+    const auto until =
+        saving_since ? *saving_since + net::seconds(limits::kAnswerWait) : began + net::seconds(idle_s);
     if (loop.now() >= until) co_return;
     const net::OneShot<bool> woken(loop);
     held_.insert_or_assign(machine, woken);
@@ -173,8 +173,8 @@
   co_await hold_answer(report.machine);
   // A later report of the machine means that it no longer waits for this answer: its orders would be lost.
   if (!alive_ || !cluster_.awaits_answer(report)) co_return come_back();
-  const auto orders = cluster_.orders_for(
-      report.machine, staleness() < limits::kFreshForStarts * watch_hold_s(), now());
+  const auto orders =
+      cluster_.orders_for(report.machine, staleness() < limits::kFreshForStarts * watch_hold_s(), now());
   cluster_.answered(report.machine, now());
   co_return answer(200, wire::report_answer(token(), orders));
 }
@@ -360,7 +360,8 @@
       }
       break;
     }
-    // Refused, or perhaps applied: the same transaction again, which its guards keep from being applied twice.
+    // Refused, or perhaps applied: the same transaction again, which its guards keep from being applied
+    // twice.
     if (committed.outcome == Outcome::rejected) spdlog::error("event=save_rejected number={}", save.number);
     co_await self->services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
   }
@@ -371,8 +372,8 @@
 void Term::note_final(const JobId& id) {
   const core::Job* job = cluster_.job(id);
   if (!job) return;
-  spdlog::debug("event=job_done id={} class={} tasks={} estimate={:.0f} submitted={:.1f} took={:.1f}", id.value,
-                job->spec.job_class, job->spec.tasks, job->spec.estimate_s, job->submitted,
+  spdlog::debug("event=job_done id={} class={} tasks={} estimate={:.0f} submitted={:.1f} took={:.1f}",
+                id.value, job->spec.job_class, job->spec.tasks, job->spec.estimate_s, job->submitted,
                 now() - job->submitted);
   listener_.on_final(id, {wire::Stage::done, job->done_count, 0});
 }
@@ -448,7 +449,8 @@
 
 net::Task<void> Term::carry_out(Self self, core::GiveBack effect) {
   if (!effect.recorded) {
-    const bool written = co_await self->record(effect.record, wire::machine_names(effect.machines), Urgency::normal);
+    const bool written =
+        co_await self->record(effect.record, wire::machine_names(effect.machines), Urgency::normal);
     if (!written) co_return;
   }
   bool answered = false;
@@ -476,7 +478,8 @@
 }
 
 net::Task<void> Term::remove_discarded(Self self) {
-  // One transaction at a time: each in line on its own, they once filled the line and had submissions refused.
+  // One transaction at a time: each in line on its own, they once filled the line and had submissions
+  // refused.
   self->discarding_ = true;
   while (self->alive_ && !self->discarded_.empty()) {
     const auto count = std::min(self->discarded_.size(), self->config_.txn_ops);
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -29,10 +29,12 @@
 // ---- What the cloud says ----------------------------------------------------------------------------------
 
 void Cluster::on(const TypesChanged& command, Time) {
-  // A type that is offered no more keeps its number, since machines of it may be up, but no zone to rent it in.
+  // A type that is offered no more keeps its number, since machines of it may be up, but no zone to rent it
+  // in.
   for (auto& type : types_) type.zones.clear();
   for (const auto& type : command.types) {
-    auto known = std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type.name; });
+    auto known =
+        std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type.name; });
     if (known == types_.end()) {
       types_.push_back(type);
     } else {
@@ -206,7 +208,8 @@
   if (!job.spec.spot_allowed) return true;
   // However far away its objective is, nobody's work waits for ever for a cheaper machine.
   if (now - job.waiting_since >= limits::kOrdinaryPatience) return true;
-  return ranked.reachable && ranked.due - now - job.expected_s - quickest_boot_s(job) < limits::kOrdinarySlack;
+  return ranked.reachable &&
+         ranked.due - now - job.expected_s - quickest_boot_s(job) < limits::kOrdinarySlack;
 }
 
 // Machines that are alike in type, zone, kind and free room (rounded down), counted together: a fleet of many
@@ -247,11 +250,11 @@
   std::vector<Rooms> rooms;
   for (const auto& [key, count] : counts) {
     const auto& [type, zone, spot, cpus, gpus, memory] = key;
-    rooms.push_back({type, zone, spot,
-                     wire::Resources{static_cast<double>(cpus), static_cast<double>(gpus),
-                                     static_cast<double>(memory)} *
-                         limits::kRoomStep,
-                     count});
+    rooms.push_back(
+        {type, zone, spot,
+         wire::Resources{static_cast<double>(cpus), static_cast<double>(gpus), static_cast<double>(memory)} *
+             limits::kRoomStep,
+         count});
   }
   return rooms;
 }
@@ -407,9 +410,8 @@
       const bool ready = accepts(machine, now) && machine.placements.empty();
       if (ready || (machine.state == MachineState::booting && !late(machine, now))) coming[machine.type] += 1;
     } else if (machine.state == MachineState::up && !machine.placements.empty()) {
-      load[machine.type] +=
-          std::all_of(machine.placements.begin(), machine.placements.end(),
-                      [](const auto& task) { return task.job->spec.spot_allowed; });
+      load[machine.type] += std::all_of(machine.placements.begin(), machine.placements.end(),
+                                        [](const auto& task) { return task.job->spec.spot_allowed; });
     }
   }
   for (const auto& [id, pending] : rents_)
@@ -430,9 +432,10 @@
       if (!offer && !resting({name, zone, true}, now)) offer = Offer{name, zone, true};
     if (!offer) continue;
     // One at a time where one makes up for it; a large load in one full call.
-    const auto count = std::min<std::size_t>(
-        {most, limits::kMaxRent,
-         std::max<std::size_t>(1, static_cast<std::size_t>((lasting - coming[name]) * limits::kReplaceShare))});
+    const auto count =
+        std::min<std::size_t>({most, limits::kMaxRent,
+                               std::max<std::size_t>(1, static_cast<std::size_t>((lasting - coming[name]) *
+                                                                                 limits::kReplaceShare))});
     rent(*offer, count, now);
     most -= count;
   }
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -224,9 +224,9 @@
 void Cluster::describe(Machine& machine, const std::string& type, const std::string& zone, bool spot) {
   if (machine.type != type || machine.type_number == kNoType) {
     machine.type = type;
-    auto found = std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type; });
-    machine.type_number =
-        found == types_.end() ? kNoType : static_cast<std::size_t>(found - types_.begin());
+    auto found =
+        std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == type; });
+    machine.type_number = found == types_.end() ? kNoType : static_cast<std::size_t>(found - types_.begin());
   }
   if (machine.zone != zone) machine.zone = zone;
   machine.spot = spot;
@@ -409,7 +409,8 @@
   }
   for (const auto& task : missed) {
     if (machine.unheeded < limits::kUnheeded) {
-      task.placement().sent = false;  // the answer with the start got lost; the same attempt may be sent again
+      task.placement().sent =
+          false;  // the answer with the start got lost; the same attempt may be sent again
     } else {
       // Reports arrive from it, but nothing that we answer. This report is newer than the one whose answer
       // carried the start, so the task is not there and can go elsewhere.
@@ -605,8 +606,7 @@
     const double remaining = std::max(0.0, task.job->expected_s - ran);
     if (spec.checkpoint_s > 0) {
       // Orders travel only with answers, so the last chance is a report period before it is needed.
-      if (left <= spec.save_s + limits::kNoticeMargin + 1.25 * config_.report_s)
-        stop(placement, spec.save_s);
+      if (left <= spec.save_s + limits::kNoticeMargin + 1.25 * config_.report_s) stop(placement, spec.save_s);
     } else if (spec.shape == wire::Shape::standing || remaining > left) {
       stop(placement, 0);  // it can't end here: the sooner it starts again elsewhere the better
     }
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -72,10 +72,9 @@
 };
 struct Tick {};
 
-using Command =
-    std::variant<JobLoaded, PageLoaded, RentLoaded, ReturnLoaded, LoadDone, JobSubmitted, JobOffRecord,
-                 SaveDone, SaveConflict, MachinesListed, RentAnswered, RentRefused, MachinesDeleted, TypesChanged,
-                 Tick>;
+using Command = std::variant<JobLoaded, PageLoaded, RentLoaded, ReturnLoaded, LoadDone, JobSubmitted,
+                             JobOffRecord, SaveDone, SaveConflict, MachinesListed, RentAnswered, RentRefused,
+                             MachinesDeleted, TypesChanged, Tick>;
 
 // ---- Effects ----------------------------------------------------------------------------------------------
 
@@ -245,12 +244,12 @@
   // placement.cpp
   struct Ranked {
     Job* job;
-    bool starving = false;  // no task of it has begun for far too long
-    bool hasty = false;     // it can't wait a report period for a better machine
+    bool starving = false;    // no task of it has begun for far too long
+    bool hasty = false;       // it can't wait a report period for a better machine
     bool guaranteed = false;  // within its team's guarantee
-    bool reachable = false;     // some objective of it can still be met
-    double due = 0;             // when the nearest of those wants it done
-    double first_due = 0;       // when its first objective wanted it done
+    bool reachable = false;   // some objective of it can still be met
+    double due = 0;           // when the nearest of those wants it done
+    double first_due = 0;     // when its first objective wanted it done
   };
   using Ranking = std::vector<Ranked>;
   // Free room of machines that are alike, for the count of machines to rent.
@@ -326,8 +325,8 @@
   std::uint32_t next_serial_ = 1;
   std::map<JobId, Time> over_;  // dropped not long ago: late news of their submission start nothing
   std::map<MachineId, Machine> machines_;
-  std::set<Machine*> open_answers_;        // machines whose last report has not been answered
-  std::vector<wire::MachineType> types_;   // numbered as first seen
+  std::set<Machine*> open_answers_;       // machines whose last report has not been answered
+  std::vector<wire::MachineType> types_;  // numbered as first seen
   std::map<MachineId, Time> tombstones_;
   std::map<RentId, PendingRent> rents_;
   std::map<Offer, Refusal> refusals_;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -64,7 +64,7 @@
   bool sent = false;       // its start order went out in an answer of ours
   std::uint64_t sent_session = 0;
   std::uint64_t sent_sequence = 0;
-  bool shown = false;         // the worker has reported it to us
+  bool shown = false;          // the worker has reported it to us
   std::uint64_t shown_in = 0;  // number of the last report that did
   wire::TaskState state = wire::TaskState::fetching;
   Time placed_at = 0;
@@ -141,7 +141,7 @@
 
   std::uint64_t session = 0;
   std::uint64_t sequence = 0;
-  bool trusted = false;  // has shown our token in its present session
+  bool trusted = false;       // has shown our token in its present session
   std::uint64_t reports = 0;  // taken under our token
   Time last_report = 0;
   Time last_answer = 0;
@@ -157,9 +157,9 @@
   // What the last report showed beside the placements: ended tasks, and tasks no record wants there.
   std::vector<wire::ReportedTask> leftovers;
   std::vector<std::pair<wire::TaskRef, Attempt>> forgets;  // ordered in the last answer
-  bool strangers = false;  // it runs tasks we know nothing about
-  bool listed = false;     // the cloud's list has shown it
-  int unlisted = 0;        // lists in a row that did not show it since
+  bool strangers = false;                                  // it runs tasks we know nothing about
+  bool listed = false;                                     // the cloud's list has shown it
+  int unlisted = 0;                                        // lists in a row that did not show it since
 
   bool draining = false;
   bool returning = false;  // recorded for give-back
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -24,7 +24,8 @@
 }  // namespace
 
 const wire::MachineType* Cluster::type_named(const std::string& name) const {
-  auto found = std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == name; });
+  auto found =
+      std::find_if(types_.begin(), types_.end(), [&](const auto& each) { return each.name == name; });
   return found == types_.end() ? nullptr : &*found;
 }
 
@@ -129,8 +130,8 @@
     each.reachable = reachable != goals.end();
     each.due = job->submitted + (each.reachable ? *reachable : goals.back());
     each.first_due = job->submitted + goals.front();
-    const bool starts_count = std::any_of(
-        config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
+    const bool starts_count =
+        std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
           return objective.kind == Objective::Kind::wait && objective.job_class == job->spec.job_class &&
                  objective.within_s < 2 * report_round_s();
         });
@@ -139,15 +140,17 @@
     ranking_.push_back(std::move(each));
   }
   // Whoever has not begun for very long comes first, whatever its priority. Within a priority the first
-  // objective's due time decides and nobody is put off: jobs that could not meet it stood behind all others and
-  // missed by minutes, and in a large fleet no single job's work is enough to save another. Latest starts (due
-  // times less run times) keep short jobs waiting and were worse for both.
-  std::sort(ranking_.begin(), ranking_.end(), [](const Ranked& a, const Ranked& b) {
-    return std::tuple(!a.starving, !a.guaranteed, -static_cast<int>(a.job->spec.priority), a.first_due,
-                      a.job->serial) < std::tuple(!b.starving, !b.guaranteed,
-                                                  -static_cast<int>(b.job->spec.priority), b.first_due,
-                                                  b.job->serial);
-  });
+  // objective's due time decides and nobody is put off: jobs that could not meet it stood behind all others
+  // and missed by minutes, and in a large fleet no single job's work is enough to save another. Latest starts
+  // (due times less run times) keep short jobs waiting and were worse for both.
+  const auto place_in_line = [](const Ranked& each) {
+    const Job& job = *each.job;
+    return each.starving ? std::tuple(0, 0, job.submitted, job.serial)
+                         : std::tuple(each.guaranteed ? 1 : 2, -static_cast<int>(job.spec.priority),
+                                      each.first_due, job.serial);
+  };
+  std::sort(ranking_.begin(), ranking_.end(),
+            [&](const Ranked& a, const Ranked& b) { return place_in_line(a) < place_in_line(b); });
   find_open_tier(now);
 }
 
@@ -403,14 +406,16 @@
   if (!any_lesser && guaranteed_.empty()) return;
   for (const auto& ranked : ranking(now)) {
     const Job& job = *ranked.job;
-    if (job.waiting() == 0 || now < job.not_before || now - job.waiting_since < limits::kPreemptWait || limit_room(job) == 0)
+    if (job.waiting() == 0 || now < job.not_before || now - job.waiting_since < limits::kPreemptWait ||
+        limit_room(job) == 0)
       continue;
     const auto zones = zone_room(job);
     std::vector<PlacedTask> best;
     double best_loss = 0;
     bool coming = false;
     for (auto& [id, machine] : machines_) {
-      if (!accepts(machine, now) || !allowed_on(job, machine.type_number, machine.zone, machine.spot)) continue;
+      if (!accepts(machine, now) || !allowed_on(job, machine.type_number, machine.zone, machine.spot))
+        continue;
       if (zones && (!zones->contains(machine.zone) || zones->at(machine.zone) == 0)) continue;
       if (job.failed_on.contains(id)) continue;
       auto free = room(machine);
