A leader that hears no worker while the others do hands on the lead

Ruled out: the cut from the store, which costs one take-over of 4 s. Now such a leader asks the others what they hear, ends its lease and leaves the key alone for 6 s.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -144,6 +144,7 @@
       others_reach_state_ = false;
       alone_ = false;
       if (term_) term_->set_alone(false);
+      co_await hand_on_if_deaf();
       continue;
     }
     // The store does not answer us. Whether it answers the others shows if this is an outage or only ours.
@@ -169,6 +170,38 @@
   }
 }
 
+net::Task<void> Node::hand_on_if_deaf() {
+  // The key is renewed and users are served, but no worker gets through: all their leases would run out.
+  const auto term = term_;
+  if (!term || settings_.siblings.empty()) co_return;
+  const auto odd = [&] {
+    const auto silence = term->silence();
+    return silence.machines > 0 && silence.lasted_s >= silence.odd_s;
+  };
+  if (!odd()) co_return;
+  std::uint64_t elsewhere = 0;
+  bool any_answer = false;
+  for (const auto& sibling : settings_.siblings) {
+    const std::optional<peer::Standing> standing = co_await peer::ask_standing(transport_, sibling.address);
+    if (!standing) continue;
+    any_answer = true;
+    elsewhere += standing->workers_heard;
+  }
+  if (term != term_ || !odd()) co_return;
+  const auto silence = term->silence();
+  const bool turned_away =
+      elsewhere > 0 &&
+      static_cast<double>(elsewhere) >= limits::kHeardElsewhere * static_cast<double>(silence.machines);
+  // Nobody to ask: once, for a fleet that was heard before, and before its leases are lost. A fleet that is
+  // silent as a whole does not pass the lead round and round.
+  const bool unasked = !any_answer && silence.heard_before &&
+                       silence.lasted_s >= limits::kDeafAlone * settings_.cluster.lease_s;
+  if (!turned_away && !unasked) co_return;
+  spdlog::info("event=deaf token={} silence={:.1f} machines={} heard_elsewhere={}", term->token().value,
+               silence.lasted_s, silence.machines, elsewhere);
+  election_.hand_on();
+}
+
 std::optional<net::Address> Node::leader_address() const {
   if (term_ || !leader_) return std::nullopt;
   auto sibling = std::find_if(settings_.siblings.begin(), settings_.siblings.end(),
@@ -204,7 +237,9 @@
   if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
   if (request.path() == peer::kStandingPath) {
     co_return HttpResponse{
-        200, peer::encode(peer::Standing{leading(), term_ ? term_->token().value : 0, !state_.suspect()}),
+        200,
+        peer::encode(peer::Standing{leading(), term_ ? term_->token().value : 0, !state_.suspect(),
+                                    workers_heard_.lately(loop_.now())}),
         std::nullopt};
   }
   if (request.path() == peer::kPollPath) {
@@ -297,6 +332,7 @@
     }
   }
   if (!report) co_return HttpResponse{400, {}, std::nullopt};
+  workers_heard_.note(loop_.now());
   if (!term_) {
     if (leader_ && *leader_ != settings_.host) co_return answer(421, wire::redirect_answer(*leader_));
     co_return answer(421, wire::Json::object());
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "app/frontend.hpp"
+#include "app/hearing.hpp"
 #include "app/settings.hpp"
 #include "app/term.hpp"
 #include "cloud/cloud_client.hpp"
@@ -39,6 +40,8 @@
   net::Task<std::optional<std::vector<peer::PolledJob>>> ask_leader(std::vector<JobId> ids);
   net::Task<void> keep_types();
   net::Task<void> keep_company();
+  // A leader cut off from its workers gives the lead to a controller to which they have turned.
+  net::Task<void> hand_on_if_deaf();
   net::Task<void> log_users();
   void use_types(std::vector<wire::MachineType> types);
   void set_share();
@@ -55,6 +58,7 @@
   std::optional<std::string> leader_;
   std::uint32_t leader_was_slow_ = 0;  // submissions and cancellations in a row
   net::TimePoint leader_rests_until_;
+  Hearing workers_heard_;
   std::vector<wire::MachineType> types_;
   // While the store does not answer this controller: it answers others; none of them answers either.
   bool others_reach_state_ = false;
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -33,7 +33,8 @@
       listener_(std::move(listener)),
       work_(services.loop),
       renewed_at_(asked_at),
-      watched_at_(asked_at) {}
+      watched_at_(asked_at),
+      elected_at_(services.loop.now()) {}
 
 core::Time Term::now() const {
   return seconds_of(services_.loop.now());
@@ -55,6 +56,25 @@
   return std::min(limits::kWatchHold, patience_s() / limits::kWatchesPerPatience);
 }
 
+Term::Silence Term::silence() const {
+  Silence out;
+  out.heard_before = heard_at_.has_value();
+  out.lasted_s =
+      std::chrono::duration<double>(services_.loop.now() - heard_at_.value_or(elected_at_)).count();
+  out.odd_s = limits::kDeafLeast;
+  if (out.lasted_s < out.odd_s) return out;  // no need to count the machines
+  out.machines = cluster_.machines_up();
+  const double round_s = limits::kReportRound * config_.report_s + idle_hold_s();
+  const double few_s =
+      limits::kDeafReports * config_.report_s / std::max(1.0, static_cast<double>(out.machines));
+  out.odd_s = std::max(out.odd_s, std::min(round_s, few_s));
+  return out;
+}
+
+double Term::idle_hold_s() const {
+  return std::min(limits::kIdleHold, limits::kIdleHoldShare * config_.report_s);
+}
+
 void Term::set_alone(bool alone) {
   if (!alone) {
     alone_since_.reset();
@@ -110,6 +130,7 @@
     for (const auto& waiting : reports) {
       const auto fate = cluster.take_report(waiting.report, now);
       waiting.fate.set(fate);
+      if (fate == core::ReportFate::taken) self->heard_at_ = self->services_.loop.now();
       if (fate == core::ReportFate::overtaken) {
         self->overtaken();
         break;
@@ -138,7 +159,6 @@
 net::Task<void> Term::hold_answer(MachineId machine) {
   auto& loop = services_.loop;
   const auto began = loop.now();
-  const double idle_s = std::min(limits::kIdleHold, limits::kIdleHoldShare * config_.report_s);
   std::optional<net::TimePoint> saving_since;
   while (alive_) {
     const auto hold = cluster_.hold(machine);
@@ -146,7 +166,7 @@
     // Work given to an idle machine meanwhile has the same time to get on record as any other.
     if (hold == core::Hold::save && !saving_since) saving_since = loop.now();
     const auto until =
-        saving_since ? *saving_since + net::seconds(limits::kAnswerWait) : began + net::seconds(idle_s);
+        saving_since ? *saving_since + net::seconds(limits::kAnswerWait) : began + net::seconds(idle_hold_s());
     if (loop.now() >= until) co_return;
     const net::OneShot<bool> woken(loop);
     held_.insert_or_assign(machine, woken);
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -41,6 +41,14 @@
 
   Token token() const { return cluster_.token(); }
   void renewed(net::TimePoint asked_at) { renewed_at_ = std::max(renewed_at_, asked_at); }
+  // For how long no worker has been heard, and from when on that is odd for the fleet there is.
+  struct Silence {
+    double lasted_s = 0;
+    double odd_s = 0;
+    std::size_t machines = 0;
+    bool heard_before = false;
+  };
+  Silence silence() const;
   // Neither the store nor any other controller answers.
   void set_alone(bool alone);
   void push(core::Command command);
@@ -93,6 +101,8 @@
   // How stale the view may get before workers are no longer answered.
   double patience_s() const;
   double watch_hold_s() const;
+  // For how long the answer to a machine without tasks waits for work.
+  double idle_hold_s() const;
 
   Services services_;
   const core::Config& config_;
@@ -110,6 +120,8 @@
   net::TimePoint renewed_at_;
   net::TimePoint watched_at_;
   std::optional<net::TimePoint> alone_since_;
+  std::optional<net::TimePoint> heard_at_;  // the last worker's report
+  net::TimePoint elected_at_;
 };
 
 }  // namespace dockdyke::app
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -129,6 +129,21 @@
 // Seconds without an answer of the state service after which a node asks the others about it.
 inline constexpr double kStateSuspect = 1.2;
 
+// Seconds of workers' reports that a controller counts when another asks what it hears.
+inline constexpr std::size_t kHeardSeconds = 4;
+// Seconds without any worker's report after which a leader asks the others what they hear, at the least; its
+// workers' own patience with it is 4 s.
+inline constexpr double kDeafLeast = 2.5;
+// Reports that should have come in a silence before it means anything; few machines may all be between two.
+inline constexpr double kDeafReports = 20;
+// Share of its machines that must have turned to the others for the leader to hand on; machines that have
+// just booted report to any controller.
+inline constexpr double kHeardElsewhere = 0.1;
+// Share of the workers' lease after which a leader that neither hears workers nor can ask the others hands on.
+inline constexpr double kDeafAlone = 0.5;
+// Seconds for which a leader that handed on leaves the lead to others; longer than its lease.
+inline constexpr double kHandOnRest = 6.0;
+
 // Requests in a row that the leader did not answer in time before it is left alone.
 inline constexpr std::uint32_t kSlowInARow = 2;
 // Seconds a leader that did not answer in time is left alone by a follower, which then serves by itself.
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -38,6 +38,12 @@
   return found == usage_.end() ? wire::Resources{} : found->second;
 }
 
+std::size_t Cluster::machines_up() const {
+  return static_cast<std::size_t>(std::count_if(machines_.begin(), machines_.end(), [](const auto& each) {
+    return each.second.state == MachineState::up && !each.second.returning;
+  }));
+}
+
 std::vector<JobId> Cluster::open_jobs() const {
   std::vector<JobId> out;
   for (const auto& [id, job] : jobs_)
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -178,6 +178,8 @@
   const Job* job(const JobId& id) const;
   const Machine* machine(const MachineId& id) const;
   std::size_t fleet() const { return machines_.size(); }
+  // Machines whose workers should be reporting.
+  std::size_t machines_up() const;
   std::size_t jobs() const { return jobs_.size(); }
   // Jobs that should have an open record.
   std::vector<JobId> open_jobs() const;
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -28,7 +28,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, Standing& message) {
-  archive(message.leading, message.token, message.state_answers);
+  archive(message.leading, message.token, message.state_answers, message.workers_heard);
 }
 
 namespace {
--- a/src/peer/peer.hpp
+++ b/src/peer/peer.hpp
@@ -39,6 +39,7 @@
   bool leading = false;
   std::uint64_t token = 0;
   bool state_answers = false;
+  std::uint64_t workers_heard = 0;  // reports that came to it lately
 };
 
 inline constexpr const char* kForwardPath = "/peer/forward";
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -36,12 +36,24 @@
   listener_.on_lost();
 }
 
+void Election::hand_on() {
+  if (!held_) return;
+  rests_until_ = loop_.now() + net::seconds(limits::kHandOnRest);
+  spawn(state_.revoke(held_->lease));
+  step_down();
+}
+
 net::Task<void> Election::follow() {
   Result<wire::KeyValue> current =
       co_await state_.get(kLeaderKey, loop_.now() + net::seconds(limits::kStateTimeout));
+  const bool resting = loop_.now() < rests_until_;
   if (current.outcome == Outcome::missing) {
     listener_.on_leader(std::nullopt);
-    co_await stand(Revision(0));
+    if (resting) {
+      co_await loop_.sleep(net::seconds(limits::kElectionRetry));
+    } else {
+      co_await stand(Revision(0));
+    }
     co_return;
   }
   if (!current) {
@@ -49,6 +61,11 @@
     co_return;
   }
   const auto host = current.value.value.value("host", std::string());
+  if (host == host_ && resting) {
+    // What we handed on is not gone yet.
+    co_await loop_.sleep(net::seconds(limits::kElectionRetry));
+    co_return;
+  }
   if (host == host_) {
     // The key is from before a restart of this process, or from a transaction whose answer got lost. Nobody
     // else acts under it, so there is no lease to wait for.
--- a/src/store/election.hpp
+++ b/src/store/election.hpp
@@ -36,6 +36,8 @@
   net::Task<void> run();
   // Called when something else showed that the token has been overtaken.
   void step_down();
+  // Gives the lead up for another controller to take, and leaves it alone for a while.
+  void hand_on();
   bool leading() const { return held_.has_value(); }
 
  private:
@@ -51,6 +53,7 @@
   Listener listener_;
   std::optional<Leadership> held_;
   net::Bell wake_;
+  net::TimePoint rests_until_;  // after handing on
 };
 
 }  // namespace dockdyke::store
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -171,4 +171,9 @@
   co_return reply.outcome;
 }
 
+net::Task<void> StateClient::revoke(LeaseId lease) {
+  requests_.charge(1);
+  co_await call("DELETE", wire::path::lease(lease), {}, net::seconds(limits::kRenewTimeout));
+}
+
 }  // namespace dockdyke::store
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -58,6 +58,9 @@
   net::Task<Result<LeaseId>> grant(std::uint64_t ttl_ms);
   net::Task<Outcome> renew(LeaseId lease);
 
+  // Ends a lease at once; not repeated, since it also ends by itself.
+  net::Task<void> revoke(LeaseId lease);
+
   // True when calls have been failing for a while and none has succeeded since.
   bool suspect() const;
   // True while calls stand in line for budget: the stage before should take no more.
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -1,6 +1,7 @@
 // An in-memory network with a state service and a cloud on it, by their protocols.
 #pragma once
 
+#include <algorithm>
 #include <charconv>
 #include <deque>
 #include <functional>
@@ -59,6 +60,15 @@
     }
     if (target.starts_with("/holds/")) {
       const auto id = std::stoull(target.substr(7));
+      if (method == "DELETE") {
+        for (bool found = true; found;) {
+          auto attached =
+              std::find_if(keys.begin(), keys.end(), [&](const auto& each) { return each.second.lease == id; });
+          found = attached != keys.end();
+          if (found) end_lease_of(std::string(attached->first));
+        }
+        return reply(200, Json::object());
+      }
       return reply(leases_.contains(id) ? 200 : 404, Json::object());
     }
     if (target.starts_with("/watch")) return watch(target);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -215,6 +215,25 @@
   EXPECT_EQ(wire::decode(sent_on.body)->at("harbour"), "dyke-1");
 }
 
+TEST_F(NodeTest, LeaderThatNoLongerHearsItsWorkersHandsOnToOneThatDoes) {
+  settings_change = [](app::Settings& settings) { settings.cluster.report_s = 0.3; };
+  auto& deaf = start(0, 2);
+  ASSERT_TRUE(until([&] { return deaf.leading() && ready(deaf); }));
+  auto& next = start(1, 2);
+  ASSERT_TRUE(until([&] { return next.leader() == "dyke-0"; }));
+  report(deaf, 1, 0);
+  const auto heard = net::Clock::now();
+  until([&] { return net::Clock::now() - heard > net::seconds(limits::kDeafLeast + 1); });
+  EXPECT_TRUE(deaf.leading()) << "silent as a whole, the fleet is no better off with another leader";
+  std::uint64_t sequence = 1;
+  ASSERT_TRUE(until([&] {
+    EXPECT_EQ(report(next, ++sequence, 0).status, next.leading() ? 200 : 421);
+    return next.leading();
+  })) << "the store's lease is renewed all the time, so nothing else would end this";
+  EXPECT_FALSE(deaf.leading());
+  EXPECT_TRUE(until([&] { return deaf.leader() == "dyke-1"; }));
+}
+
 TEST_F(NodeTest, LateTransactionOfAnOldLeaderDies) {
   auto& node = start(0);
   ASSERT_TRUE(until([&] { return node.leading(); }));
