--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -250,9 +250,6 @@
 // The same for ordinary machines, which cost about three times as much to keep but, replaced by a spot one,
 // not to boot again.
 inline constexpr double kHoldBootsOrdinary = 0.2;
-// Room kept free beyond what waits, as a share of what is in use: in a large fleet that much comes and goes
-// within a boot. What is beyond it is let run empty and goes back.
-inline constexpr double kBufferShare = 0.1;
 // Seconds a rental refused for lack of capacity rests, first and at most (doubling between).
 inline constexpr double kRefusedFirst = 10.0;
 inline constexpr double kRefusedMost = 60.0;
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -1,7 +1,6 @@
 // How many machines: the fleet's changes by cloud answers and lists, and the design's tick.
 #include <algorithm>
 #include <cmath>
-#include <limits>
 
 #include "constants.hpp"
 #include "core/cluster.hpp"
@@ -167,7 +166,7 @@
                 unheard > config_.lease_s + limits::kSilentPatience;
     } else if (deaf) {
       give_up = machine.placements.empty() || !machine.trusted;
-    } else if (machine.draining || machine.closing) {
+    } else if (machine.draining) {
       give_up = machine.placements.empty();
     }
     if (give_up) lost.push_back(id);
@@ -441,95 +440,6 @@
   }
 }
 
-double Cluster::load(const Machine& machine) const {
-  const auto* type = type_of(machine);
-  if (!type) return 0;
-  return std::max({machine.used.cpus / std::max(1e-9, type->size.cpus),
-                   type->size.gpus > 0 ? machine.used.gpus / type->size.gpus : 0.0,
-                   machine.used.memory_gb / std::max(1e-9, type->size.memory_gb)});
-}
-
-std::vector<double> Cluster::surplus(Time now) const {
-  std::vector<double> out(types_.size());
-  std::vector<double> largest(types_.size());
-  std::vector<double> in_use(types_.size());
-  // Room counts where the largest task fits that may need it.
-  std::vector<wire::Resources> each_most(types_.size());
-  for (const auto& [id, job] : jobs_) {
-    if (job.cancelled || job.complete()) continue;
-    for (std::size_t i = 0; i < types_.size(); ++i) {
-      if (!job.suits_type(i)) continue;
-      const auto per_machine =
-          static_cast<double>(std::max<std::size_t>(1, fitting(job.spec.each, types_[i].size)));
-      out[i] -= static_cast<double>(job.waiting()) / per_machine;
-      const auto& each = job.spec.each;
-      each_most[i] = {std::max(each_most[i].cpus, each.cpus), std::max(each_most[i].gpus, each.gpus),
-                      std::max(each_most[i].memory_gb, each.memory_gb)};
-      largest[i] = std::max(largest[i], static_cast<double>(job.spec.tasks) / per_machine);
-    }
-  }
-  for (const auto& [id, machine] : machines_) {
-    if (machine.type_number >= types_.size() || machine.state != MachineState::up || machine.returning)
-      continue;
-    const double used = load(machine);
-    in_use[machine.type_number] += used;
-    if (accepts(machine, now) && each_most[machine.type_number].fits_into(room(machine)))
-      out[machine.type_number] += 1 - used;
-  }
-  // Room for one more job like the largest there is.
-  for (std::size_t i = 0; i < types_.size(); ++i)
-    out[i] -= std::max(limits::kBufferShare * in_use[i], largest[i]);
-  return out;
-}
-
-void Cluster::close_surplus(Time now) {
-  auto spare = surplus(now);
-  std::size_t left = fleet_size();
-  std::vector<Machine*> open;
-  for (auto& [id, machine] : machines_)
-    if (machine.type_number < types_.size() && accepts(machine, now)) open.push_back(&machine);
-  // Ordinary machines cost about three times as much for the same work.
-  const auto key = [this](const Machine* machine) {
-    const auto* type = type_of(*machine);
-    return std::pair(machine->spot ? type->spot_price : type->price, -load(*machine));
-  };
-  std::sort(open.begin(), open.end(), [&](const Machine* a, const Machine* b) { return key(a) > key(b); });
-  const bool any_bound = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& each) {
-    return !each.second.spec.spot_allowed && !each.second.cancelled && !each.second.complete();
-  });
-  std::size_t free = count_.free;
-  for (Machine* machine : open) {
-    if (left <= config_.min_machines) break;
-    const bool empty = machine->placements.empty();
-    if ((!machine->spot && any_bound) || (empty && free <= config_.free_machines)) continue;
-    double& here = spare[machine->type_number];
-    if (here < 1) continue;
-    // Its free room is gone, and what runs on it will want room elsewhere when more of it comes.
-    here -= 1;
-    machine->closing = true;
-    --left;
-    if (empty) --free;
-  }
-}
-
-void Cluster::reopen(Time now) {
-  std::vector<Machine*> closing;
-  for (auto& [id, machine] : machines_)
-    if (machine.closing && !machine.returning && machine.type_number < types_.size())
-      closing.push_back(&machine);
-  if (closing.empty()) return;
-  auto spare = surplus(now);
-  std::sort(closing.begin(), closing.end(), [this](const Machine* a, const Machine* b) {
-    return std::pair(!a->spot, load(*a)) < std::pair(!b->spot, load(*b));
-  });
-  for (Machine* machine : closing) {
-    double& here = spare[machine->type_number];
-    if (here >= 0) continue;
-    machine->closing = false;
-    here += 1 - load(*machine);
-  }
-}
-
 void Cluster::scale(Time now) {
   const std::size_t waiting = count_.waiting_tasks;
   count_ = {};
@@ -601,7 +511,6 @@
     --idle_left;
   }
   give_back(std::move(back), now);
-  close_surplus(now);
 }
 
 }  // namespace dockdyke::core
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -632,7 +632,6 @@
     preempted_at_ = now;
     make_room(now);
   }
-  reopen(now);
   if (now - scaled_at_ >= limits::kTick) {
     scaled_at_ = now;
     review_machines(now);
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -301,12 +301,6 @@
   std::size_t rent_for_waiting(std::size_t most, Time now);
   std::size_t fleet_size() const;
   void replace_ordinary(std::size_t most, Time now);
-  // Machines' worth of room, by type, beyond what runs, what waits and the buffer; negative where it is short.
-  std::vector<double> surplus(Time now) const;
-  double load(const Machine& machine) const;
-  // Lets machines run empty that the others can do without, dearest first.
-  void close_surplus(Time now);
-  void reopen(Time now);
   double quickest_boot_s(const Job& job) const;
   // Waiting for a spot machine any longer would cost the job its objective.
   bool needs_ordinary(const Ranked& ranked, Time now) const;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -162,7 +162,6 @@
   int unlisted = 0;                                        // lists in a row that did not show it since
 
   bool draining = false;
-  bool closing = false;    // gets no work, since the others have room enough; goes back once it is empty
   bool returning = false;  // recorded for give-back
   // Jobs that failed here and not elsewhere since a task last completed here, and when.
   std::map<JobId, Time> failed_jobs;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -160,8 +160,8 @@
 }
 
 bool Cluster::accepts(const Machine& machine, Time now) const {
-  return machine.state == MachineState::up && machine.trusted && !machine.draining && !machine.closing &&
-         !machine.returning && !machine.ends_at && !machine.strangers && machine.failed_jobs.size() < limits::kFaultyJobs &&
+  return machine.state == MachineState::up && machine.trusted && !machine.draining && !machine.returning &&
+         !machine.ends_at && !machine.strangers && machine.failed_jobs.size() < limits::kFaultyJobs &&
          machine.unheeded < limits::kUnheeded && now >= machine.no_room_until && !silent(machine, now);
 }
 
