--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -289,7 +289,7 @@
 // Seconds a job leaves machines that lack its image to jobs whose images are there.
 inline constexpr double kImagePatience = 10.0;
 // Share of its run time by which a job stands further ahead in line than its due time alone says.
-inline constexpr double kRunShare = 1.0;
+inline constexpr double kRunShare = -1.5;
 // Steps (CPUs, GB) to which free room is rounded down when machines are counted in groups.
 inline constexpr double kRoomStep = 0.5;
 // Weight of the newest observation in a class's correction of estimates.
