--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -258,11 +258,19 @@
 inline constexpr double kLostBoots = 3.0;
 // Seconds a machine may stay silent past its lease before it is deleted.
 inline constexpr double kSilentPatience = 25.0;
+// Rounds of reports after which a machine that alone is silent is deleted, which proves its tasks gone long
+// before its lease runs out; and the share of its zone's machines that may be overdue meanwhile: more are cut
+// off together, and each of them that comes back would be missed.
+inline constexpr double kLostRounds = 2.0;
+inline constexpr double kOverdueShare = 0.4;
+// Seconds after a take-over before it is held against a machine: its worker may try dead controllers first.
+inline constexpr double kTakeOverGrace = 10.0;
 // Tasks of this many different jobs must fail on a machine in a row for it to be called faulty.
 inline constexpr std::size_t kFaultyJobs = 2;
 // Seconds after its last failure before such a machine is given up: time for the jobs to fail elsewhere too.
 inline constexpr double kJudgeAfter = 6.0;
-// Completed tasks of a job whose run times are better than its owner's estimate.
+// Completed tasks of a job from which on the others are measured against them. (Their mean is better than the
+// owner's estimate, but ordering by it put the rest of long jobs off and the day's end with it.)
 inline constexpr std::uint32_t kRunsToTrust = 3;
 // Times the mean of its job's completed tasks after which a task speaks against its machine (tasks of a job
 // differ by a fifth, machines by a tenth; slow machines were seen to be four times slower), after which it
@@ -296,9 +304,6 @@
 inline constexpr double kHastyRounds = 3;
 // Seconds a job leaves machines that lack its image to jobs whose images are there.
 inline constexpr double kImagePatience = 10.0;
-// Run times by which a job stands further back in line than its due time alone says: in a full fleet long work
-// ahead makes all the rest late.
-inline constexpr double kShortFirst = 1.0;
 // Steps (CPUs, GB) to which free room is rounded down when machines are counted in groups.
 inline constexpr double kRoomStep = 0.5;
 // Weight of the newest observation in a class's correction of estimates.
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -146,6 +146,20 @@
 
 void Cluster::review_machines(Time now) {
   std::vector<MachineId> lost;
+  // By zone: machines that are up, and those of them that are overdue.
+  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;
+  for (const auto& [id, machine] : machines_) {
+    if (machine.state != MachineState::up || machine.returning) continue;
+    auto& [up, overdue] = zones[machine.zone];
+    ++up;
+    overdue += now - machine.last_report > report_round_s();
+  }
+  const auto lost_alone = [&](const Machine& machine) {
+    const auto& [up, overdue] = zones[machine.zone];
+    return now - std::max(machine.last_report, elected_at_ + limits::kTakeOverGrace) >
+               limits::kLostRounds * report_round_s() &&
+           static_cast<double>(overdue) < limits::kOverdueShare * static_cast<double>(up);
+  };
   for (auto& [id, machine] : machines_) {
     if (machine.returning) continue;
     const auto* type = type_of(machine);
@@ -163,7 +177,8 @@
                            now - machine.rented_at > 2 * config_.list_lag_s + limits::kUnknownMachine;
     } else if (silent(machine, now)) {
       give_up = machine.unlisted >= limits::kUnlisted || (machine.ends_at && now > *machine.ends_at) ||
-                unheard > config_.lease_s + limits::kSilentPatience;
+                unheard > config_.lease_s + limits::kSilentPatience ||
+                (!machine.placements.empty() && lost_alone(machine));
     } else if (deaf) {
       give_up = machine.placements.empty() || !machine.trusted;
     } else if (machine.draining) {
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -501,12 +501,6 @@
   }
 }
 
-double Cluster::expected_s(const Job& job) const {
-  // Owners' estimates are wrong by half and more, but the tasks of a job are alike.
-  if (job.ran >= limits::kRunsToTrust) return job.mean_run_s();
-  return estimates_.expected(job.spec.job_class, job.spec.estimate_s);
-}
-
 bool Cluster::overlong(const Job& job, double ran_s, double times) {
   // The first to end are the shortest: with half of them done their mean is near enough to that of all.
   return job.ran >= limits::kRunsToTrust && 2 * job.ran >= job.next_fresh && ran_s > times * job.mean_run_s();
@@ -530,7 +524,7 @@
     if (placement.stopping || spec.shape == wire::Shape::standing) continue;
     const double ran_s = placement.running_since > 0 ? now - placement.running_since : 0;
     // One that is nearly through even so is better left alone; one that saves loses little.
-    if (spec.checkpoint_s > 0 || ran_s < limits::kSurelySlowTimes * task.job->expected_s)
+    if (spec.checkpoint_s > 0 || ran_s < limits::kSurelySlowTimes * task.job->mean_run_s())
       stop(placement, spec.save_s);
   }
 }
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -217,7 +217,6 @@
   void task_exited(Job& job, TaskIndex index, Machine& machine, const wire::ReportedTask& task, Time now);
   void task_failed(Job& job, Machine& machine, Time now);
   void judge_machines(Time now);
-  double expected_s(const Job& job) const;
   // The task has run far longer than those of its job that are done: more likely its machine is slow.
   static bool overlong(const Job& job, double ran_s, double times);
   // Takes work off machines on which it goes several times slower than elsewhere.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -117,7 +117,7 @@
     }
   }
   for (Job* job : unfinished) {
-    job->expected_s = expected_s(*job);
+    job->expected_s = estimates_.expected(job->spec.job_class, job->spec.estimate_s);
     if (job->waiting() == 0) continue;
     Ranked each;
     each.job = job;
@@ -129,7 +129,7 @@
     });
     each.reachable = reachable != goals.end();
     each.due = job->submitted + (each.reachable ? *reachable : goals.back());
-    each.first_due = job->submitted + goals.front() + limits::kShortFirst * job->expected_s;
+    each.first_due = job->submitted + goals.front();
     const bool starts_count =
         std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
           return objective.kind == Objective::Kind::wait && objective.job_class == job->spec.job_class &&
