Machines several times too slow are left; starts in danger rent instead of waiting

Tasks of a job differ by a fifth, so one that takes twice the mean of those done, twice in a row, speaks against its machine.

--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -165,8 +165,8 @@
     if (hold == core::Hold::none) co_return;
     // Work given to an idle machine meanwhile has the same time to get on record as any other.
     if (hold == core::Hold::save && !saving_since) saving_since = loop.now();
-    const auto until =
-        saving_since ? *saving_since + net::seconds(limits::kAnswerWait) : began + net::seconds(idle_hold_s());
+    const auto until = saving_since ? *saving_since + net::seconds(limits::kAnswerWait)
+                                    : began + net::seconds(idle_hold_s());
     if (loop.now() >= until) co_return;
     const net::OneShot<bool> woken(loop);
     held_.insert_or_assign(machine, woken);
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -139,7 +139,8 @@
 // Share of its machines that must have turned to the others for the leader to hand on; machines that have
 // just booted report to any controller.
 inline constexpr double kHeardElsewhere = 0.1;
-// Share of the workers' lease after which a leader that neither hears workers nor can ask the others hands on.
+// Share of the workers' lease after which a leader that neither hears workers nor can ask the others hands
+// on.
 inline constexpr double kDeafAlone = 0.5;
 // Seconds for which a leader that handed on leaves the lead to others; longer than its lease.
 inline constexpr double kHandOnRest = 6.0;
@@ -230,6 +231,9 @@
 inline constexpr double kOverdue = 1.6;
 // A task that ends within this share of a boot frees its room before a machine rented instead would be up.
 inline constexpr double kSoonBoots = 0.8;
+// Share of the time within which a class wants its tasks started after which the room that others will free
+// soon no longer keeps machines from being rented: in a large fleet as much work arrives meanwhile.
+inline constexpr double kPressedShare = 0.33;
 // Weight of the newest count in the lasting load on ordinary machines (per tick: a memory of about 50 s), and
 // the machines' worth of it, beyond what is coming, at which a spot machine is rented in their place.
 inline constexpr double kLoadSmoothing = 0.1;
@@ -258,13 +262,6 @@
 inline constexpr double kLostBoots = 3.0;
 // Seconds a machine may stay silent past its lease before it is deleted.
 inline constexpr double kSilentPatience = 25.0;
-// Rounds of reports after which a machine that alone is silent is deleted, which proves its tasks gone long
-// before its lease runs out; and the share of its zone's machines that may be overdue meanwhile: more are cut
-// off together, and each of them that comes back would be missed.
-inline constexpr double kLostRounds = 2.0;
-inline constexpr double kOverdueShare = 0.4;
-// Seconds after a take-over before it is held against a machine: its worker may try dead controllers first.
-inline constexpr double kTakeOverGrace = 10.0;
 // Tasks of this many different jobs must fail on a machine in a row for it to be called faulty.
 inline constexpr std::size_t kFaultyJobs = 2;
 // Seconds after its last failure before such a machine is given up: time for the jobs to fail elsewhere too.
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -146,20 +146,6 @@
 
 void Cluster::review_machines(Time now) {
   std::vector<MachineId> lost;
-  // By zone: machines that are up, and those of them that are overdue.
-  std::map<std::string, std::pair<std::size_t, std::size_t>> zones;
-  for (const auto& [id, machine] : machines_) {
-    if (machine.state != MachineState::up || machine.returning) continue;
-    auto& [up, overdue] = zones[machine.zone];
-    ++up;
-    overdue += now - machine.last_report > report_round_s();
-  }
-  const auto lost_alone = [&](const Machine& machine) {
-    const auto& [up, overdue] = zones[machine.zone];
-    return now - std::max(machine.last_report, elected_at_ + limits::kTakeOverGrace) >
-               limits::kLostRounds * report_round_s() &&
-           static_cast<double>(overdue) < limits::kOverdueShare * static_cast<double>(up);
-  };
   for (auto& [id, machine] : machines_) {
     if (machine.returning) continue;
     const auto* type = type_of(machine);
@@ -177,8 +163,7 @@
                            now - machine.rented_at > 2 * config_.list_lag_s + limits::kUnknownMachine;
     } else if (silent(machine, now)) {
       give_up = machine.unlisted >= limits::kUnlisted || (machine.ends_at && now > *machine.ends_at) ||
-                unheard > config_.lease_s + limits::kSilentPatience ||
-                (!machine.placements.empty() && lost_alone(machine));
+                unheard > config_.lease_s + limits::kSilentPatience;
     } else if (deaf) {
       give_up = machine.placements.empty() || !machine.trusted;
     } else if (machine.draining) {
@@ -236,7 +221,24 @@
   std::size_t count = 0;
 };
 
-std::vector<Cluster::Rooms> Cluster::free_rooms(Time now) const {
+std::vector<bool> Cluster::pressed_types(Time now) {
+  std::vector<bool> pressed(types_.size());
+  for (const auto& ranked : ranking(now)) {
+    const Job& job = *ranked.job;
+    if (job.waiting() == 0 || now < job.not_before) continue;
+    const bool waits =
+        std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
+          return objective.kind == Objective::Kind::wait && objective.job_class == job.spec.job_class &&
+                 now - job.waiting_since >
+                     std::max(limits::kShortWait, limits::kPressedShare * objective.within_s);
+        });
+    for (std::size_t i = 0; waits && i < pressed.size(); ++i) pressed[i] = pressed[i] || job.suits_type(i);
+  }
+  return pressed;
+}
+
+std::vector<Cluster::Rooms> Cluster::free_rooms(Time now) {
+  const auto pressed = pressed_types(now);
   using Key = std::tuple<std::size_t, std::string, bool, long, long, long>;
   std::map<Key, std::size_t> counts;
   auto steps = [](double amount) { return static_cast<long>(std::floor(amount / limits::kRoomStep + 1e-6)); };
@@ -251,7 +253,9 @@
     if (machine.state == MachineState::up) {
       if (!accepts(machine, now)) continue;
       for (const auto& task : machine.placements)
-        if (frees_soon(*task.job, task.placement(), now)) free += task.job->spec.each;
+        if (pressed[machine.type_number] ? nearly_done(*task.job, task.placement(), now)
+                                         : frees_soon(*task.job, task.placement(), now))
+          free += task.job->spec.each;
     } else if (machine.state != MachineState::booting || late(machine, now)) {
       continue;
     }
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -435,7 +435,8 @@
         if (placement.running_since > placement.placed_at && placement.sent) {
           const double took_s = now - placement.running_since;
           estimates_.observe(job.spec.job_class, job.spec.estimate_s, took_s);
-          machine.slow_signs = overlong(job, took_s, limits::kSlowTimes) ? machine.slow_signs + 1 : 0;
+          const bool slow = placement.attempt == 1 && overlong(job, took_s, limits::kSlowTimes);
+          machine.slow_signs = slow ? machine.slow_signs + 1 : 0;
           job.ran_s += took_s;
           ++job.ran;
         }
@@ -511,7 +512,8 @@
   std::uint32_t signs = machine.slow_signs;
   for (const auto& task : machine.placements) {
     const Placement& placement = task.placement();
-    if (placement.running_since == 0 || placement.stopping) continue;
+    // Only a first attempt: a task that simply takes that long must not be moved on for ever.
+    if (placement.running_since == 0 || placement.stopping || placement.attempt > 1) continue;
     const double ran_s = now - placement.running_since;
     if (overlong(*task.job, ran_s, limits::kSlowTimes)) ++signs;
     if (overlong(*task.job, ran_s, limits::kSurelySlowTimes)) signs += limits::kSlowSigns;
@@ -521,7 +523,7 @@
   for (const auto& task : machine.placements) {
     const auto& spec = task.job->spec;
     Placement& placement = task.placement();
-    if (placement.stopping || spec.shape == wire::Shape::standing) continue;
+    if (placement.stopping || placement.attempt > 1 || spec.shape == wire::Shape::standing) continue;
     const double ran_s = placement.running_since > 0 ? now - placement.running_since : 0;
     // One that is nearly through even so is better left alone; one that saves loses little.
     if (spec.checkpoint_s > 0 || ran_s < limits::kSurelySlowTimes * task.job->mean_run_s())
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -314,7 +314,9 @@
   void give_back(std::vector<MachineId> machines, Time now);
   std::size_t type_number(const std::string& name) const;
   const wire::MachineType* type_of(const Machine& machine) const;
-  std::vector<Rooms> free_rooms(Time now) const;
+  std::vector<Rooms> free_rooms(Time now);
+  // Types for which work waits so long that its start objective is in danger.
+  std::vector<bool> pressed_types(Time now);
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
   std::optional<Offer> best_offer(const Job& job, std::size_t tasks, bool ordinary,
                                   const std::set<std::size_t>& avoided, const Zones& zones,
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -62,8 +62,8 @@
       const auto id = std::stoull(target.substr(7));
       if (method == "DELETE") {
         for (bool found = true; found;) {
-          auto attached =
-              std::find_if(keys.begin(), keys.end(), [&](const auto& each) { return each.second.lease == id; });
+          auto attached = std::find_if(keys.begin(), keys.end(),
+                                       [&](const auto& each) { return each.second.lease == id; });
           found = attached != keys.end();
           if (found) end_lease_of(std::string(attached->first));
         }
--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -193,6 +193,46 @@
   EXPECT_EQ(seen<GiveBack>().at(0).machines[0], MachineId("n-1"));
 }
 
+TEST_F(JudgementTest, MachineOnWhichTasksTakeSeveralTimesAsLongAsElsewhereIsLeft) {
+  loaded();
+  std::vector<Worker> workers{ready_worker("n-1"), ready_worker("n-2"), ready_worker("n-3")};
+  submit(job_spec("job-1", 6));
+  settle();
+  for (auto& worker : workers)
+    for (const auto& order : answer(worker))
+      worker.shows("job-1", order.task.index, order.attempt, TaskState::running);
+  // Reports for so many seconds; returns how many tasks a machine was told to stop.
+  auto run = [&](int seconds) {
+    std::size_t stopped = 0;
+    for (; seconds > 0; seconds -= 2) {
+      pass(2);
+      for (auto& worker : workers) stopped = std::max(stopped, count(exchange(worker), Verb::stop));
+    }
+    return stopped;
+  };
+  run(20);
+  for (std::size_t quick = 0; quick < 2; ++quick)
+    for (auto& task : workers[quick].tasks) {
+      task.state = TaskState::exited;
+      task.cause = ExitCause::done;
+    }
+  EXPECT_EQ(run(16), 0u) << "twice the others' time is not up";
+  EXPECT_EQ(run(8), 2u);
+  workers[2].tasks.clear();
+  run(2);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->waiting(), 2u) << "they go on elsewhere";
+  run(6);
+  std::set<MachineId> returned;
+  for (const auto& effect : seen<GiveBack>()) returned.insert(effect.machines.begin(), effect.machines.end());
+  EXPECT_TRUE(returned.contains(MachineId("n-3")));
+
+  workers = {ready_worker("n-4")};
+  for (const auto& order : answer(workers[0]))
+    workers[0].shows("job-1", order.task.index, order.attempt, TaskState::running);
+  ASSERT_EQ(workers[0].tasks.size(), 2u);
+  EXPECT_EQ(run(80), 0u) << "tasks that do take that long are not moved on for ever";
+}
+
 TEST_F(JudgementTest, JobThatFailsEverywhereSlowsDownAndBlamesNoMachine) {
   loaded();
   std::vector<Worker> workers;
@@ -428,6 +468,37 @@
   EXPECT_LT(large.looks() - before_review, static_cast<std::uint64_t>(kMachines + 2 * kJobs));
 }
 
+class StartObjectiveTest : public ClusterTest {
+ protected:
+  static Config wanted_soon() {
+    auto config = cluster_config();
+    config.objectives = {{Objective::Kind::wait, "class", 9, 1}};
+    return config;
+  }
+  StartObjectiveTest() : ClusterTest(wanted_soon()) {}
+};
+
+TEST_F(StartObjectiveTest, RoomThatOthersWillFreeSoonIsNotWaitedForUntilTheObjectiveIsMissed) {
+  loaded();
+  auto worker = ready_worker("n-1");
+  submit(job_spec("job-1", 2));
+  settle();
+  for (const auto& order : answer(worker))
+    worker.shows("job-1", order.task.index, order.attempt, TaskState::running);
+  auto run = [&](int seconds) {
+    for (; seconds > 0; --seconds) {
+      pass(1);
+      exchange(worker);
+    }
+  };
+  run(20);  // of 40, and a boot takes as long: half-way through they will be done before another is up
+  submit(job_spec("job-2", 2));
+  run(2);
+  EXPECT_TRUE(seen<Rent>().empty());
+  run(3);
+  EXPECT_FALSE(seen<Rent>().empty()) << "in a large fleet as much arrives as is freed";
+}
+
 class GuaranteeTest : public ClusterTest {
  protected:
   static Config guaranteed() {
