Reading once more: one smallest size, one place that rests after handing on, no ranking without open answers

No change of behaviour meant. The smallest size of tasks was worked out by two loops; the rest after handing on stood before both calls of stand(); work to stop was looked for on a list that was rebuilt while empty; place() ordered the line also when no machine waited for an answer.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -174,11 +174,7 @@
   // The key is renewed and users are served, but no worker gets through: all their leases would run out.
   const auto term = term_;
   if (!term || settings_.siblings.empty()) co_return;
-  const auto odd = [&] {
-    const auto silence = term->silence();
-    return silence.machines > 0 && silence.lasted_s >= silence.odd_s;
-  };
-  if (!odd()) co_return;
+  if (!term->silence().odd()) co_return;
   std::uint64_t elsewhere = 0;
   bool any_answer = false;
   for (const auto& sibling : settings_.siblings) {
@@ -187,8 +183,8 @@
     any_answer = true;
     elsewhere += standing->workers_heard;
   }
-  if (term != term_ || !odd()) co_return;
   const auto silence = term->silence();
+  if (term != term_ || !silence.odd()) co_return;
   const bool turned_away =
       elsewhere > 0 &&
       static_cast<double>(elsewhere) >= limits::kHeardElsewhere * static_cast<double>(silence.machines);
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -47,6 +47,7 @@
     double odd_s = 0;
     std::size_t machines = 0;
     bool heard_before = false;
+    bool odd() const { return machines > 0 && lasted_s >= odd_s; }
   };
   Silence silence() const;
   // Neither the store nor any other controller answers.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -17,6 +17,19 @@
   return nullptr;
 }
 
+// The smallest amounts that any of these sizes asks for.
+class Smallest {
+ public:
+  void add(const wire::Resources& each) {
+    least_ = {std::min(least_.cpus, each.cpus), 0, std::min(least_.memory_gb, each.memory_gb)};
+  }
+  const wire::Resources& size() const { return least_; }
+
+ private:
+  // Larger than any machine until something is added.
+  wire::Resources least_{std::numeric_limits<double>::max(), 0, std::numeric_limits<double>::max()};
+};
+
 bool has_guarantee(const Team& team) {
   return team.guarantee.cpus > 0 || team.guarantee.gpus > 0;
 }
@@ -293,18 +306,16 @@
 }
 
 void Cluster::find_open_tier(Time now) {
-  wire::Resources smallest{std::numeric_limits<double>::max(), 0, std::numeric_limits<double>::max()};
   double waiting = 0;
   for (const auto& ranked : ranking_) waiting += ranked.job->waiting() * ranked.job->spec.each.cpus;
-  for (const auto& [id, job] : jobs_)
-    smallest = {std::min(smallest.cpus, job.spec.each.cpus), 0,
-                std::min(smallest.memory_gb, job.spec.each.memory_gb)};
+  Smallest smallest;
+  for (const auto& [id, job] : jobs_) smallest.add(job.spec.each);
   constexpr std::size_t kTiers = 4;
   std::array<double, kTiers> free{};
   for (const auto& [id, machine] : machines_) {
     if (!type_of(machine) || !accepts(machine, now)) continue;
     const auto left = room(machine);
-    if (smallest.fits_into(left)) free[tier(machine)] += left.cpus;
+    if (smallest.size().fits_into(left)) free[tier(machine)] += left.cpus;
   }
   open_tier_ = 0;
   for (double sum = free[0]; open_tier_ + 1 < kTiers && sum < waiting; sum += free[open_tier_]) ++open_tier_;
@@ -356,14 +367,14 @@
 void Cluster::place(Time now) {
   if (!place_wanted_ || !loaded_) return;
   place_wanted_ = false;
+  if (open_answers_.empty()) return;  // the next report asks for places again
   // Orders travel only in answers to reports. A task is bound to a machine when that machine waits for an
   // answer and not before: bound to any other it would wait up to a report period, while others free.
   std::size_t placed = 0;
   const auto& line = ranking(now);
-  wire::Resources least{std::numeric_limits<double>::max(), 0, std::numeric_limits<double>::max()};
-  for (const auto& ranked : line)
-    least = {std::min(least.cpus, ranked.job->spec.each.cpus), 0,
-             std::min(least.memory_gb, ranked.job->spec.each.memory_gb)};
+  Smallest smallest;
+  for (const auto& ranked : line) smallest.add(ranked.job->spec.each);
+  const auto& least = smallest.size();
   // Once for all jobs: at each of them again, full machines took most of a large fleet's processor time.
   std::vector<Machine*> open;
   std::vector<wire::Resources> most_free(types_.size());
@@ -415,7 +426,7 @@
   std::optional<wire::Priority> least;  // of work that has places
   for (const auto& [id, job] : jobs_)
     if (!job.placements.empty()) least = std::min(least.value_or(job.spec.priority), job.spec.priority);
-  std::vector<std::pair<Machine*, wire::Resources>> open;
+  std::optional<std::vector<const Machine*>> open;  // worked out when the first job needs it
   for (const auto& ranked : ranking(now)) {
     const Job& job = *ranked.job;
     // Nothing may be stopped for it. A pass over all machines for each waiting job of the lowest priority
@@ -424,20 +435,22 @@
     if (job.waiting() == 0 || now < job.not_before || now - job.waiting_since < limits::kPreemptWait ||
         limit_room(job) == 0)
       continue;
-    if (open.empty())
-      for (auto& [id, machine] : machines_)
-        if (accepts(machine, now)) open.emplace_back(&machine, room(machine));
+    if (!open) {
+      open.emplace();
+      for (const auto& [id, machine] : machines_)
+        if (accepts(machine, now)) open->push_back(&machine);
+    }
     const auto zones = zone_room(job);
     std::vector<PlacedTask> best;
     double best_loss = 0;
     bool coming = false;
-    looks_ += open.size();
-    for (const auto& [each, unused] : open) {
+    looks_ += open->size();
+    for (const Machine* each : *open) {
       const Machine& machine = *each;
       if (!allowed_on(job, machine.type_number, machine.zone, machine.spot)) continue;
       if (zones && (!zones->contains(machine.zone) || zones->at(machine.zone) == 0)) continue;
       if (job.failed_on.contains(machine.id)) continue;
-      auto free = unused;
+      auto free = room(machine);
       std::vector<std::pair<double, PlacedTask>> victims;
       for (const auto& task : machine.placements) {
         const Job& other = *task.job;
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -46,14 +46,9 @@
 net::Task<void> Election::follow() {
   Result<wire::KeyValue> current =
       co_await state_.get(kLeaderKey, loop_.now() + net::seconds(limits::kStateTimeout));
-  const bool resting = loop_.now() < rests_until_;
   if (current.outcome == Outcome::missing) {
     listener_.on_leader(std::nullopt);
-    if (resting) {
-      co_await loop_.sleep(net::seconds(limits::kElectionRetry));
-    } else {
-      co_await stand(Revision(0));
-    }
+    co_await stand(Revision(0));
     co_return;
   }
   if (!current) {
@@ -61,11 +56,6 @@
     co_return;
   }
   const auto host = current.value.value.value("host", std::string());
-  if (host == host_ && resting) {
-    // What we handed on is not gone yet.
-    co_await loop_.sleep(net::seconds(limits::kElectionRetry));
-    co_return;
-  }
   if (host == host_) {
     // The key is from before a restart of this process, or from a transaction whose answer got lost. Nobody
     // else acts under it, so there is no lease to wait for.
@@ -86,6 +76,11 @@
 }
 
 net::Task<void> Election::stand(Revision version) {
+  if (loop_.now() < rests_until_) {
+    // Handed on: another is to have it, also while our own key is not gone yet.
+    co_await loop_.sleep(net::seconds(limits::kElectionRetry));
+    co_return;
+  }
   const auto asked_at = loop_.now();
   Result<LeaseId> lease = co_await state_.grant(limits::kLeaderLeaseMs);
   if (!lease) {
