--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -17,11 +17,6 @@
 HttpResponse answer(int status, const wire::Json& body) {
   return {status, wire::encode(body), std::nullopt};
 }
-std::int64_t time_of_day_ms() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
 HttpResponse come_back() {
   return {503, {}, limits::kRetryAfter};
 }
@@ -140,7 +135,7 @@
   }
   core::JobRecord record;
   record.spec = std::move(spec);
-  record.submitted_ms = time_of_day_ms();
+  record.submitted_ms = loop_.time_of_day_ms();
   wire::Transaction txn;
   txn.guards.push_back({core::key::open(id), Revision(0)});
   txn.guards.push_back({core::key::over(id), Revision(0)});
--- a/src/app/frontend.hpp
+++ b/src/app/frontend.hpp
@@ -22,7 +22,6 @@
 
 net::HttpResponse answer(int status, const wire::Json& body);
 net::HttpResponse come_back();
-std::int64_t time_of_day_ms();
 
 class Frontend {
  public:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -11,7 +11,10 @@
 
 namespace dockdyke::net {
 
-Loop::Loop() : epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)), now_(Clock::now()) {
+Loop::Loop(Time time)
+    : time_(time),
+      epoll_fd_(::epoll_create1(EPOLL_CLOEXEC)),
+      now_(time == Time::real ? Clock::now() : TimePoint(std::chrono::hours(1))) {
   if (epoll_fd_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
@@ -19,6 +22,12 @@
   ::close(epoll_fd_);
 }
 
+std::int64_t Loop::time_of_day_ms() const {
+  const auto since_epoch =
+      time_ == Time::real ? std::chrono::system_clock::now().time_since_epoch() : now_.time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+}
+
 Loop::TimerKey Loop::at(TimePoint when, std::function<void()> action) {
   TimerKey key{when, next_timer_++};
   timers_.emplace(key, std::move(action));
@@ -49,6 +58,26 @@
   } else if (!timers_.empty()) {
     limit = std::min(limit, std::max(Duration::zero(), timers_.begin()->first.first - now_));
   }
+  if (time_ == Time::real) {
+    take_events(limit);
+  } else {
+    now_ += limit;
+  }
+
+  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
+    auto action = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    action();
+  }
+
+  for (auto pending = ready_.size(); pending > 0; --pending) {
+    auto next = ready_.front();
+    ready_.pop_front();
+    next.resume();
+  }
+}
+
+void Loop::take_events(Duration limit) {
   // Rounded up: waking a fraction of a millisecond early would only cost another turn.
   auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(limit).count();
   std::array<epoll_event, limits::kEventsPerTurn> events;
@@ -71,18 +100,6 @@
     }
     if (readiness->writable && readiness->on_writable) std::exchange(readiness->on_writable, {})();
   }
-
-  while (!timers_.empty() && timers_.begin()->first.first <= now_) {
-    auto action = std::move(timers_.begin()->second);
-    timers_.erase(timers_.begin());
-    action();
-  }
-
-  for (auto pending = ready_.size(); pending > 0; --pending) {
-    auto next = ready_.front();
-    ready_.pop_front();
-    next.resume();
-  }
 }
 
 }  // namespace dockdyke::net
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -17,8 +17,10 @@
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
 
+// Rounded up: a timer that is early by a fraction of a nanosecond finds nothing due and is set for no time at
+// all, for ever.
 inline Duration seconds(double amount) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(amount));
+  return std::chrono::ceil<Duration>(std::chrono::duration<double>(amount));
 }
 
 // Readiness of one descriptor. At most one coroutine waits for each direction.
@@ -32,8 +34,11 @@
 class Loop {
  public:
   using TimerKey = std::pair<TimePoint, std::uint64_t>;
+  // Simulated time stands still while anything is ready and then leaps to the next timer; no descriptor is
+  // looked at. Tests play minutes of a cluster in a moment with it, and the same way each time.
+  enum class Time { real, simulated };
 
-  Loop();
+  explicit Loop(Time time = Time::real);
   ~Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -44,6 +49,8 @@
   void turn(Duration limit);
 
   TimePoint now() const { return now_; }
+  // Milliseconds since 1970.
+  std::int64_t time_of_day_ms() const;
   TimerKey at(TimePoint when, std::function<void()> action);
   void cancel(const TimerKey& key) { timers_.erase(key); }
   void post(std::coroutine_handle<> ready) { ready_.push_back(ready); }
@@ -63,6 +70,9 @@
   Sleep sleep(Duration time) { return Sleep{*this, time}; }
 
  private:
+  void take_events(Duration limit);
+
+  Time time_;
   int epoll_fd_;
   bool stopping_ = false;
   TimePoint now_;
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -50,26 +50,38 @@
     log_.push_back({{"remove", key}, {"stamp", revision}});
   }
 
+  // The time goes on, and leases that were not renewed end. Without it they live for ever.
+  void pass(net::TimePoint now) {
+    now_ = now;
+    std::vector<std::uint64_t> ended;
+    for (const auto& [id, lease] : leases_)
+      if (lease.until < now) ended.push_back(id);
+    for (const auto id : ended) end_lease(id);
+  }
+  // After an outage every lease has its full time again.
+  void outage_over() {
+    for (auto& [id, lease] : leases_) lease.until = now_ + lease.life;
+  }
+
   net::HttpMessage handle(const std::string& method, const std::string& target, const std::string& body) {
     const auto decoded = body.empty() ? std::optional<Json>(Json::object()) : wire::decode(body);
     if (!decoded) return reply(400, Json::object());
     if (target == "/txn") return transact(*decoded);
     if (target == "/holds") {
-      leases_.insert(++next_lease_);
+      const std::chrono::milliseconds life(decoded->value("life_ms", 3500));
+      leases_[++next_lease_] = {life, now_ + life};
       return reply(200, {{"tenure", next_lease_}});
     }
     if (target.starts_with("/holds/")) {
       const auto id = std::stoull(target.substr(7));
       if (method == "DELETE") {
-        for (bool found = true; found;) {
-          auto attached = std::find_if(keys.begin(), keys.end(),
-                                       [&](const auto& each) { return each.second.lease == id; });
-          found = attached != keys.end();
-          if (found) end_lease_of(std::string(attached->first));
-        }
+        end_lease(id);
         return reply(200, Json::object());
       }
-      return reply(leases_.contains(id) ? 200 : 404, Json::object());
+      auto lease = leases_.find(id);
+      if (lease == leases_.end()) return reply(404, Json::object());
+      lease->second.until = now_ + lease->second.life;
+      return reply(200, Json::object());
     }
     if (target.starts_with("/watch")) return watch(target);
     if (target.starts_with("/store?")) return page(query(target, "starts"));
@@ -83,7 +95,25 @@
   }
 
  private:
+  struct Lease {
+    net::Duration life;
+    net::TimePoint until;
+  };
+
+  void end_lease(std::uint64_t id) {
+    for (bool found = true; found;) {
+      auto attached =
+          std::find_if(keys.begin(), keys.end(), [&](const auto& each) { return each.second.lease == id; });
+      found = attached != keys.end();
+      if (found) end_lease_of(std::string(attached->first));
+    }
+    leases_.erase(id);
+  }
+
   net::HttpMessage transact(const Json& txn) {
+    for (const auto& change : txn["apply"])
+      if (change.contains("tenure") && !leases_.contains(change["tenure"].get<std::uint64_t>()))
+        return reply(400, {{"error", "no such lease"}});
     Json failed = Json::array();
     for (const auto& guard : txn["guards"]) {
       auto found = keys.find(guard["k"]);
@@ -115,15 +145,20 @@
   net::HttpMessage watch(const std::string& target) {
     const auto prefix = query(target, "starts");
     const auto since = std::stoull(query(target, "since"));
-    Json events = Json::array();
-    for (const auto& event : log_) {
-      const std::string key = event.contains("write") ? event["write"] : event["remove"];
-      if (key.starts_with(prefix) && event["stamp"].get<std::uint64_t>() > since) events.push_back(event);
+    std::vector<Json> newest_first;
+    for (auto event = log_.rbegin(); event != log_.rend(); ++event) {
+      if ((*event)["stamp"].get<std::uint64_t>() <= since) break;
+      const std::string key = event->contains("write") ? (*event)["write"] : (*event)["remove"];
+      if (key.starts_with(prefix)) newest_first.push_back(*event);
     }
+    Json events = Json::array();
+    for (auto event = newest_first.rbegin(); event != newest_first.rend(); ++event)
+      events.push_back(std::move(*event));
     return reply(200, {{"ledger", revision}, {"log", events}});
   }
 
-  std::set<std::uint64_t> leases_;
+  std::map<std::uint64_t, Lease> leases_;
+  net::TimePoint now_;
   std::uint64_t next_lease_ = 0;
   std::vector<Json> log_;
 };
