A stopped task whose start never went out gives its place up

Cause: in an outage its record waits, preemption marks it to be stopped, and take_tasks waited for a report to show what was never sent; its machine was told to kill it for ever and its job never began.

--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -396,9 +396,14 @@
   for (const auto& task : placements) {
     const Placement& placement = task.placement();
     if (placement.shown && placement.shown_in == machine.reports) continue;
-    // Its start has yet to go out. One that an earlier leader sent was never sent by us, but it has been shown:
-    // left out here, it was held to be running for ever once its worker's lease had run out between reports.
-    if (!placement.inherited && !placement.sent && !placement.shown) continue;
+    if (!placement.inherited && !placement.sent && !placement.shown) {
+      // Its start has yet to go out, and one that is to be stopped will not: kept, it waited for ever for a
+      // report to show what was never there. One taken over from an earlier leader was not sent by us either,
+      // but it has been shown: counted here, it ran for ever once its worker's lease had run out between
+      // reports.
+      if (placement.stopping) release(*task.job, task.index, now);
+      continue;
+    }
     const bool newer_session = report.session > placement.sent_session;
     if (placement.inherited || newer_session || placement.shown || placement.stopping) {
       // Proved gone: the worker knows our token, and this report is newer than any start we sent it.
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -66,6 +66,32 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->tasks[0].attempt, 2u);
 }
 
+TEST_F(SafetyTest, StoppedTaskWhoseStartNeverWentOutGivesItsPlaceUp) {
+  // Found by random troubles: in an outage its record waits, more urgent work has it stopped, and no report
+  // can ever show it gone, since it never was anywhere.
+  loaded();
+  auto worker = ready_worker("n-1");
+  store_answers = false;
+  submit(job_spec("job-1", 1, 8));
+  exchange(worker);
+  ASSERT_EQ(cluster.job(JobId("job-1"))->placements.size(), 1u);
+  auto urgent = job_spec("job-2", 1, 8);
+  urgent.priority = wire::Priority::high;
+  submit(urgent);
+  for (int i = 0; i < 5; ++i) {
+    pass(2);
+    exchange(worker);
+  }
+  store_answers = true;
+  std::size_t urgent_starts = 0;
+  for (int i = 0; i < 3; ++i) {
+    pass(2);
+    for (const auto& order : exchange(worker))
+      urgent_starts += order.verb == Verb::start && order.task.job == JobId("job-2");
+  }
+  EXPECT_GE(urgent_starts, 1u);
+}
+
 TEST_F(SafetyTest, WorkerAnOlderLeaderMayKeepAliveIsDeletedNotPresumedDead) {
   inherit(job_spec("job-1", 1), {{0, 1, MachineId("n-1"), false}});
   loaded();
