Machines that hang with tasks of cancelled jobs are deleted within the time these have

Cause: a hung worker kills nothing, and a silent machine was deleted only 25 s past its lease: 51.5 to 75 s after its last word against the 44 to 75 s of a cancellation. It is given back once its lease is over, or 12 s before the cancellation's time is up where an earlier leader may have kept it alive; the copy of a cancelled job says when it was cancelled. Cancelled tasks keep place and quota until then.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -260,6 +260,10 @@
 // A machine that is not up after this many boot times counts as not coming; after the second it is deleted.
 inline constexpr double kLateBoots = 1.8;
 inline constexpr double kLostBoots = 3.0;
+// Seconds before a cancellation's time is up at which a silent machine with tasks of it is deleted at the
+// latest: enough for the record, the call and its repeats; and the most as a share of that time.
+inline constexpr double kCancelReserve = 12.0;
+inline constexpr double kCancelReserveShare = 0.3;
 // Seconds a machine may stay silent past its lease before it is deleted.
 inline constexpr double kSilentPatience = 25.0;
 // Tasks of this many different jobs must fail on a machine in a row for it to be called faulty.
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -88,7 +88,12 @@
   // Open jobs come first: one that was cancelled while the records were read is then known as open, and the
   // watch tells of its end.
   if (jobs_.contains(command.record.spec.id)) return;
-  add_job(command.record, command.version, now).cancelled = command.lingering;
+  Job& job = add_job(command.record, command.version, now);
+  if (!command.lingering) return;
+  job.cancelled = true;
+  const double age_s =
+      static_cast<double>(elected_ms_ - command.record.cancelled_ms.value_or(elected_ms_)) / 1000.0;
+  job.cancelled_at = now - std::max(0.0, age_s);
 }
 
 void Cluster::on(const PageLoaded& command, Time) {
@@ -178,6 +183,7 @@
   Job& job = found->second;
   if (!job.complete() && !job.cancelled) {
     job.cancelled = true;
+    job.cancelled_at = now;
     if (loaded_) stop_all(job, now);
   }
   place_wanted_ = true;
@@ -628,16 +634,39 @@
 
 // ---- Time -------------------------------------------------------------------------------------------------
 
-void Cluster::expire_leases(Time now) {
+bool Cluster::lease_over(const Machine& machine, Time now) const {
   const double lease = config_.lease_s * (1 + 2 * limits::kDrift) + limits::kLeaseMargin;
+  // Only a worker that has shown our token is known to live on our answers alone; one that an earlier
+  // leader may still keep alive is waited for or deleted.
+  return machine.trusted && now - std::max(machine.last_answer, machine.last_report) > lease;
+}
+
+void Cluster::expire_leases(Time now) {
   for (auto& [id, machine] : machines_) {
     if (machine.placements.empty()) continue;
     if (silent(machine, now)) withdraw_unsent(machine, now);
-    // Only a worker that has shown our token is known to live on our answers alone; one that an earlier
-    // leader may still keep alive is waited for or deleted.
-    if (!machine.trusted || now - std::max(machine.last_answer, machine.last_report) <= lease) continue;
-    release_all(machine, now);
+    if (!lease_over(machine, now)) continue;
+    const auto placements = machine.placements;
+    for (const auto& task : placements)
+      if (!task.job->cancelled) release(*task.job, task.index, now);
+  }
+}
+
+void Cluster::delete_cancelled_work(Time now) {
+  // A machine that hangs ends nothing: what it held when its lease ran out it holds until it goes on or is
+  // deleted. Waited for like any silent machine, some held cancelled tasks past the time that these have.
+  const double reserve_s = std::min(limits::kCancelReserve, limits::kCancelReserveShare * config_.cancel_s);
+  std::vector<MachineId> held;
+  for (auto& [id, machine] : machines_) {
+    if (machine.returning || machine.state != MachineState::up || !silent(machine, now)) continue;
+    const bool over = lease_over(machine, now);
+    const bool due =
+        std::any_of(machine.placements.begin(), machine.placements.end(), [&](const PlacedTask& task) {
+          return task.job->cancelled && (over || now - task.job->cancelled_at > config_.cancel_s - reserve_s);
+        });
+    if (due) held.push_back(id);
   }
+  give_back(std::move(held), now);
 }
 
 void Cluster::stop_for_notices(Machine& machine, Time now) {
@@ -665,6 +694,7 @@
   std::erase_if(over_, outdated);
   if (!loaded_) return;
   if (!dead_pages_.empty()) discard(std::exchange(dead_pages_, {}));
+  delete_cancelled_work(now);
   expire_leases(now);
   judge_machines(now);
   for (auto& [id, machine] : machines_) {
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -229,6 +229,10 @@
   void machine_gone(const MachineId& id, Time now);
   void note_image(Machine& machine, const Job& job);
   void expire_leases(Time now);
+  // Gives back silent machines that hold tasks of cancelled jobs, in time for these.
+  void delete_cancelled_work(Time now);
+  // The worker's lease has run out on answers of ours alone.
+  bool lease_over(const Machine& machine, Time now) const;
   void stop_for_notices(Machine& machine, Time now);
   bool result_on_record(const wire::ReportedTask& task) const;
 
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -103,6 +103,7 @@
   Revision version;        // of the stored record
   bool finishing = false;  // its final record is being written
   bool cancelled = false;  // off the record; its tasks are being stopped
+  Time cancelled_at = 0;   // as far as is known here
   bool begun = false;      // some task of it has been seen running
   Time waiting_since = 0;  // some task has been waiting for room since
   double expected_s = 0;   // run time of a task, as corrected at the last ranking
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -147,7 +147,9 @@
 }
 
 Json to_json(const JobRecord& record) {
-  return Json{{"spec", wire::to_json(record.spec)}, {"at", record.submitted_ms}};
+  Json out{{"spec", wire::to_json(record.spec)}, {"at", record.submitted_ms}};
+  if (record.cancelled_ms) out["cancelled"] = *record.cancelled_ms;
+  return out;
 }
 
 JobRecord parse_job_record(const Json& value) {
@@ -156,6 +158,8 @@
   JobRecord record;
   record.spec = wire::parse_job(*spec);
   record.submitted_ms = static_cast<std::int64_t>(wire::require_count(value, "at"));
+  if (wire::find(value, "cancelled"))
+    record.cancelled_ms = static_cast<std::int64_t>(wire::require_count(value, "cancelled"));
   return record;
 }
 
@@ -169,8 +173,10 @@
   return {*stage, wire::require_count(value, "done")};
 }
 
-wire::Transaction cancellation(const JobRecord& record, Revision version, std::uint64_t done) {
+wire::Transaction cancellation(JobRecord record, Revision version, std::uint64_t done,
+                               std::int64_t time_of_day_ms) {
   const auto& id = record.spec.id;
+  record.cancelled_ms = time_of_day_ms;
   wire::Transaction txn;
   txn.guards.push_back({key::open(id), version});
   txn.puts.push_back({key::over(id), to_json(FinalRecord{wire::Stage::cancelled, done}), {}});
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,8 @@
 struct JobRecord {
   wire::JobSpec spec;
   std::int64_t submitted_ms = 0;  // time of day
+  // When it was cancelled; only in the copy that stays until its tasks are proved gone.
+  std::optional<std::int64_t> cancelled_ms = {};
 };
 
 // The record of a job that is over.
@@ -64,6 +67,7 @@
 
 // Builds the transaction that cancels a job: the open record becomes the final one, and a copy stays until
 // its tasks, which pages may name, are proved gone.
-wire::Transaction cancellation(const JobRecord& record, Revision version, std::uint64_t done);
+wire::Transaction cancellation(JobRecord record, Revision version, std::uint64_t done,
+                               std::int64_t time_of_day_ms);
 
 }  // namespace dockdyke::core
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -316,6 +316,21 @@
          world.run(8);
        }
      }},
+    {"CancelledTasksOnMachinesThatHangForLong",
+     [](World& world) {
+       // Their leases run out, but until they go on or are deleted the tasks are on them.
+       const auto hung = world.workers_of("job-40");
+       for (auto* worker : hung) world.hang(*worker, world.config().cancel_s + 20);
+       world.run(1);
+       cancel_long_jobs(world);
+       world.run(8);
+       world.crash(leader_of(world), 3);
+       world.cloud_out = true;  // the cloud refuses at first, too
+       world.run(16);
+       world.cloud_out = false;
+       world.run(world.config().cancel_s - 25);
+       for (const auto* worker : hung) EXPECT_TRUE(worker->gone_at) << worker->id << " still holds them";
+     }},
     {"LeaderEndsWhileMachinesWithLongTasksCantBeReached",
      [](World& world) {
        const int old_leader = leader_of(world);
