Whoever confirms a cancellation tells the leader; copies of cancelled jobs never stay; bad records end no leader

A leader that the store refuses alone learned of cancellations only when the store was back or another led: its workers went on for seconds. The confirming controller now tells the others; nothing rests on that word.

--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -25,9 +25,7 @@
           {[this](const core::JobRecord& record, Revision version) {
              if (term_) term_->push(core::JobSubmitted{record, version});
            },
-           [this](const JobId& id) {
-             if (term_) term_->push(core::JobOffRecord{id});
-           },
+           [this](const JobId& id) { cancelled(id); },
            [this](const JobId& id) { return term_ ? term_->progress(id) : std::optional<core::Progress>(); },
            [this](std::vector<JobId> ids) { return ask_leader(std::move(ids)); }}),
       election_(loop, state_, settings_.host,
@@ -229,6 +227,17 @@
   co_return polled;
 }
 
+void Node::cancelled(const JobId& id) {
+  if (term_) {
+    term_->push(core::JobOffRecord{id});
+    return;
+  }
+  // Whoever leads learns of it by its watch, unless the store refuses it alone. All are told: it may be
+  // another than the one known here.
+  for (const auto& sibling : settings_.siblings)
+    net::spawn(peer::tell_cancelled(transport_, sibling.address, id));
+}
+
 net::Task<HttpResponse> Node::handle_internal(HttpMessage request) {
   if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
   if (request.path() == peer::kStandingPath) {
@@ -239,7 +248,7 @@
         std::nullopt};
   }
   if (request.path() == peer::kPollPath) {
-    auto names = peer::decode_poll(request.body);
+    auto names = peer::decode_jobs(request.body);
     if (!names) co_return HttpResponse{400, {}, std::nullopt};
     if (!term_) co_return come_back();
     std::vector<JobId> ids;
@@ -247,6 +256,13 @@
     std::vector<peer::PolledJob> polled = co_await frontend_.look_up(std::move(ids));
     co_return HttpResponse{200, peer::encode(polled), std::nullopt};
   }
+  if (request.path() == peer::kCancelledPath) {
+    auto names = peer::decode_jobs(request.body);
+    if (!names) co_return HttpResponse{400, {}, std::nullopt};
+    for (auto& name : *names)
+      if (term_) term_->push(core::JobOffRecord{JobId(std::move(name))});
+    co_return HttpResponse{};
+  }
   if (request.path() != peer::kForwardPath) co_return HttpResponse{404, {}, std::nullopt};
   auto forwarded = peer::decode_forwarded(request.body);
   if (!forwarded) co_return HttpResponse{400, {}, std::nullopt};
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -38,6 +38,8 @@
   std::optional<net::Address> leader_address() const;
   net::Task<std::optional<net::HttpResponse>> try_leader(peer::Forwarded request);
   net::Task<std::optional<std::vector<peer::PolledJob>>> ask_leader(std::vector<JobId> ids);
+  // The cancellation is on record.
+  void cancelled(const JobId& id);
   net::Task<void> keep_types();
   net::Task<void> keep_company();
   // A leader cut off from its workers gives the lead to a controller to which they have turned.
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -227,31 +227,34 @@
 
 // ---- Loading and watching ---------------------------------------------------------------------------------
 
-net::Task<bool> Term::load_jobs(std::string prefix, bool lingering, Records& records) {
-  store::Result<wire::KeyPage> jobs = co_await services_.state.list(std::move(prefix));
-  if (!jobs) co_return false;
-  if (!lingering) records.revision = jobs.value.revision;
-  for (const auto& item : jobs.value.items) {
+template <class Parse>
+void Term::Records::take(const wire::KeyPage& page, const Parse& parse) {
+  // A record that can't be read must not end one leader after the other.
+  for (const auto& item : page.items) {
     try {
-      records.commands.push_back(
-          core::JobLoaded{core::parse_job_record(item.value), item.version, lingering});
+      commands.push_back(parse(item));
     } catch (const wire::Malformed& error) {
       spdlog::error("event=bad_record key={} what=\"{}\"", item.key, error.what());
     }
   }
+}
+
+net::Task<bool> Term::load_jobs(std::string prefix, bool lingering, Records& records) {
+  store::Result<wire::KeyPage> jobs = co_await services_.state.list(std::move(prefix));
+  if (!jobs) co_return false;
+  if (!lingering) records.revision = jobs.value.revision;
+  records.take(jobs.value, [lingering](const wire::KeyValue& item) {
+    return core::JobLoaded{core::parse_job_record(item.value), item.version, lingering};
+  });
   co_return true;
 }
 
 net::Task<bool> Term::load_pages(Records& records) {
   store::Result<wire::KeyPage> pages = co_await services_.state.list(core::key::kPagePrefix);
   if (!pages) co_return false;
-  for (const auto& item : pages.value.items) {
-    try {
-      records.commands.push_back(core::PageLoaded{item.key, core::parse_page(item.value)});
-    } catch (const wire::Malformed& error) {
-      spdlog::error("event=bad_record key={} what=\"{}\"", item.key, error.what());
-    }
-  }
+  records.take(pages.value, [](const wire::KeyValue& item) {
+    return core::PageLoaded{item.key, core::parse_page(item.value)};
+  });
   co_return true;
 }
 
@@ -268,10 +271,11 @@
   if (!rents || !alive_) co_return false;
   store::Result<wire::KeyPage> returns = co_await services_.state.list(core::key::kReturnPrefix);
   if (!returns || !alive_) co_return false;
-  for (const auto& item : rents.value.items)
-    records.commands.push_back(core::RentLoaded{wire::parse_rental(item.value)});
-  for (const auto& item : returns.value.items)
-    records.commands.push_back(core::ReturnLoaded{item.key, wire::parse_machine_names(item.value)});
+  records.take(rents.value,
+               [](const wire::KeyValue& item) { return core::RentLoaded{wire::parse_rental(item.value)}; });
+  records.take(returns.value, [](const wire::KeyValue& item) {
+    return core::ReturnLoaded{item.key, wire::parse_machine_names(item.value)};
+  });
   co_return true;
 }
 
@@ -294,6 +298,14 @@
   net::spawn(watch(self));
 }
 
+void Term::take_record(const std::string& key, const wire::Json& value, Revision version) {
+  try {
+    push(core::JobSubmitted{core::parse_job_record(value), version});
+  } catch (const wire::Malformed& error) {
+    spdlog::error("event=bad_record key={} what=\"{}\"", key, error.what());
+  }
+}
+
 net::Task<void> Term::watch(Self self) {
   auto& state = self->services_.state;
   while (self->alive_) {
@@ -308,7 +320,7 @@
       std::set<std::string> present;
       for (const auto& item : page.value.items) {
         present.insert(item.key);
-        self->push(core::JobSubmitted{core::parse_job_record(item.value), item.version});
+        self->take_record(item.key, item.value, item.version);
       }
       for (const auto& id : self->cluster_.open_jobs())
         if (!present.contains(core::key::open(id))) net::spawn(look_up(self, id));
@@ -325,11 +337,7 @@
         self->push(core::JobOffRecord{id});
       } else if (!self->cluster_.job(id)) {
         // Our own saves come back here too; only records of jobs that are new to us are read.
-        try {
-          self->push(core::JobSubmitted{core::parse_job_record(*event.value), event.version});
-        } catch (const wire::Malformed& error) {
-          spdlog::error("event=bad_record key={} what=\"{}\"", event.key, error.what());
-        }
+        self->take_record(event.key, *event.value, event.version);
       }
     }
     self->watch_from_ = std::max(self->watch_from_, events.value.revision);
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -67,6 +67,8 @@
   static net::Task<void> own(Self self);
   static net::Task<void> load(Self self);
   static net::Task<void> watch(Self self);
+  // Tells the owner of a submission on record.
+  void take_record(const std::string& key, const wire::Json& value, Revision version);
   static net::Task<void> read_machines(Self self);
   static net::Task<void> keep_time(Self self);
   static net::Task<void> save(Self self, core::Save save);
@@ -80,6 +82,9 @@
   struct Records {
     std::vector<core::Command> commands;
     Revision revision;
+
+    template <class Parse>
+    void take(const wire::KeyPage& page, const Parse& parse);
   };
   net::Task<bool> load_records(Records& records);
   net::Task<bool> load_jobs(std::string prefix, bool lingering, Records& records);
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -176,8 +176,9 @@
 void Cluster::on(const JobOffRecord& command, Time now) {
   auto found = jobs_.find(command.id);
   if (found == jobs_.end()) {
-    // Perhaps a late word of its submission is still to come.
-    over_[command.id] = now;
+    // Perhaps a late word of its submission is still to come. Cancelled before we heard of it, it has no
+    // tasks, and nobody else would remove its copy.
+    if (over_.insert_or_assign(command.id, now).second && loaded_) discard({key::linger(command.id)});
     return;
   }
   Job& job = found->second;
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -232,7 +232,9 @@
     const bool off_record =
         std::find(command.failed.begin(), command.failed.end(), key::open(id)) != command.failed.end();
     if (off_record) {
-      end_on_record(id, now);  // by an earlier try or as a cancellation
+      // By an earlier try or as a cancellation, whose copy nobody else would remove.
+      discard({key::linger(id)});
+      end_on_record(id, now);
     } else {
       unfinished_finals_.push_back(id);
     }
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -79,7 +79,7 @@
 std::string encode(const ForwardAnswer& message) {
   return packed(message);
 }
-std::optional<std::vector<std::string>> decode_poll(const std::string& bytes) {
+std::optional<std::vector<std::string>> decode_jobs(const std::string& bytes) {
   return unpacked<std::vector<std::string>>(bytes);
 }
 std::string encode(const std::vector<std::string>& jobs) {
@@ -130,6 +130,11 @@
   co_return polled;
 }
 
+net::Task<void> tell_cancelled(net::Transport& transport, net::Address sibling, JobId job) {
+  const std::vector<std::string> jobs(1, std::move(job.value));
+  co_await ask(transport, sibling, kCancelledPath, encode(jobs), limits::kPeerTimeout);
+}
+
 net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling) {
   std::optional<std::string> body =
       co_await ask(transport, sibling, kStandingPath, "?", limits::kPeerTimeout);
--- a/src/peer/peer.hpp
+++ b/src/peer/peer.hpp
@@ -45,13 +45,14 @@
 inline constexpr const char* kForwardPath = "/peer/forward";
 inline constexpr const char* kPollPath = "/peer/poll";
 inline constexpr const char* kStandingPath = "/peer/standing";
+inline constexpr const char* kCancelledPath = "/peer/cancelled";
 
-// Nothing where the bytes are no such message.
+// Nothing where the bytes are no such message. Jobs by name stand in questions and in news of cancellations.
 std::optional<Forwarded> decode_forwarded(const std::string& bytes);
 std::string encode(const Forwarded& message);
 std::optional<ForwardAnswer> decode_answer(const std::string& bytes);
 std::string encode(const ForwardAnswer& message);
-std::optional<std::vector<std::string>> decode_poll(const std::string& bytes);
+std::optional<std::vector<std::string>> decode_jobs(const std::string& bytes);
 std::string encode(const std::vector<std::string>& jobs);
 std::optional<std::vector<PolledJob>> decode_polled(const std::string& bytes);
 std::string encode(const std::vector<PolledJob>& polled);
@@ -67,6 +68,8 @@
 // The leader's word on these jobs, in their order; nothing when it does not answer quickly or does not lead.
 net::Task<std::optional<std::vector<PolledJob>>> poll(net::Transport& transport, net::Address leader,
                                                       std::vector<JobId> jobs);
+// Tells of a cancellation that is on record. Nothing rests on its arrival.
+net::Task<void> tell_cancelled(net::Transport& transport, net::Address sibling, JobId job);
 net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling);
 
 }  // namespace dockdyke::peer
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -72,6 +72,19 @@
                                            Gap{"JustBeforeTheLeadIsLost", 2.5, 3.2}),
                          [](const auto& each) { return each.param.name; });
 
+TEST(LeaderRefusedAlone, IsToldOfCancellationsByWhoeverConfirmsThem) {
+  World world({.seed = 1});
+  world.submit(long_job("job-1", 3));
+  ASSERT_TRUE(world.run_until([&] { return all_running(world, "job-1"); }, 60));
+  const int leader = *world.leader();
+  world.trouble(World::host(leader), "store", Link::refuse, 30);
+  world.run(0.5);
+  world.cancel("job-1", (leader + 1) % 3);
+  ASSERT_TRUE(world.run_until([&] { return world.job("job-1").cancelled_at.has_value(); }, 2));
+  // Its own view is refused, and another can't lead before its lease is over.
+  EXPECT_TRUE(world.run_until([&] { return world.tasks_on_machines("job-1") == 0; }, 2.6));
+}
+
 // ---- The other meetings -----------------------------------------------------------------------------------
 
 // The usual work of these stories: short and long jobs, some bound to one zone or spread over several, and a
@@ -141,6 +154,7 @@
     if (HasFailure()) return;
     cancel_long_jobs(world);
     world.expect_all_served(200);
+    world.expect_nothing_left(60);
     if (HasFailure()) return;
   }
 }
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -273,6 +273,17 @@
   EXPECT_EQ(cloud.deleted, std::vector<std::string>{"n-77"});
 }
 
+TEST_F(NodeTest, RecordThatCantBeReadEndsNoLeader) {
+  wire::Transaction odd;
+  for (const char* key : {"open/job-7", "linger/job-8", "page/1", "rent/r-7-1", "return/7-1"})
+    odd.puts.push_back({key, {{"what", "is this"}}, {}});
+  state.handle("POST", "/txn", wire::encode(wire::to_json(odd)));
+  auto& node = start(0);
+  ASSERT_TRUE(until([&] { return node.leading() && ready(node); }));
+  EXPECT_EQ(submit(node, job_spec("job-1", 1)).status, 201);
+  EXPECT_TRUE(until([&] { return cloud.rented > 0; }, 12)) << "it has loaded the rest and works";
+}
+
 TEST_F(NodeTest, RentalIsOnRecordBeforeTheCloudIsAsked) {
   auto& node = start(0);
   ASSERT_TRUE(until([&] { return node.leading() && ready(node); }));
--- a/tests/random_test.cpp
+++ b/tests/random_test.cpp
@@ -111,6 +111,7 @@
   world.run(2.5 * world.config().cancel_s);  // the last troubles end
   world.expect_answered_lately();
   world.expect_all_served(300);  // a team at its limit has work for so long
+  world.expect_nothing_left(60);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomTest, ::testing::Range<std::uint64_t>(1, seeds() + 1));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -227,6 +227,19 @@
       EXPECT_LT(seconds_between(calm_since, job.answered_at.value_or(calm_since)), 75 + within_s);
     }
   }
+  // Nothing of a job that is over stays in the store but its end.
+  void expect_nothing_left(double within_s) {
+    const bool gone = run_until(
+        [&] {
+          return std::none_of(store.keys.begin(), store.keys.end(), [](const auto& each) {
+            return each.first.starts_with("open/") || each.first.starts_with("linger/");
+          });
+        },
+        within_s);
+    if (::testing::Test::HasFailure() || gone) return;
+    for (const auto& [key, entry] : store.keys)
+      if (key.starts_with("open/") || key.starts_with("linger/")) ADD_FAILURE() << "left: " << key;
+  }
   std::string unfinished() const {
     std::string out;
     for (const auto& [id, job] : jobs_)
