Work of lower priority is stopped first, whatever its loss

A level of priority now weighs as 120 s of lost work. Seen failing before: WorkOfTheLowestPriorityMakesWayFirstWhateverItsLoss.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -316,6 +316,9 @@
 inline constexpr double kNoDeadline = 600.0;
 // A job waiting this long (s) without room may stop work of lower priority, unless its deadline is nearer.
 inline constexpr double kPreemptWait = 6.0;
+// Seconds of lost work that it counts as to stop work one priority higher; more than saving or most runs
+// cost.
+inline constexpr double kStopPriorityWeight = 120.0;
 // Seconds between passes that look for work to stop.
 inline constexpr double kPreemptEvery = 2.0;
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -468,7 +468,12 @@
           free += other.spec.each;
         } else if (may_stop(ranked, other)) {
           const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
-          victims.emplace_back(other.spec.checkpoint_s > 0 ? other.spec.save_s : ran, task);
+          // Work for idle hours makes way before that of owners who wait for it.
+          const auto above_low =
+              static_cast<double>(other.spec.priority) - static_cast<double>(wire::Priority::low);
+          victims.emplace_back((other.spec.checkpoint_s > 0 ? other.spec.save_s : ran) +
+                                   limits::kStopPriorityWeight * above_low,
+                               task);
         }
       }
       // What is free or will be by earlier stops is waited for.
--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -579,4 +579,32 @@
   EXPECT_EQ(stops, 2u);
 }
 
+TEST_F(JudgementTest, WorkOfTheLowestPriorityMakesWayFirstWhateverItsLoss) {
+  loaded();
+  auto worker = ready_worker("n-1");
+  auto saving = job_spec("job-1", 1, 4);  // it would lose least
+  saving.checkpoint_s = 10;
+  saving.save_s = 1;
+  submit(saving);
+  auto idle_work = job_spec("job-2", 1, 4);
+  idle_work.priority = wire::Priority::low;
+  idle_work.estimate_s = 300;
+  submit(idle_work);
+  for (const auto& order : exchange(worker))
+    worker.shows(order.task.job.value, order.task.index, order.attempt, TaskState::running);
+  ASSERT_EQ(worker.tasks.size(), 2u);
+  exchange(worker);
+  auto urgent = job_spec("job-3", 1, 4);
+  urgent.priority = wire::Priority::high;
+  submit(urgent);
+  std::vector<wire::Order> stops;
+  for (int i = 0; i < 6 && stops.empty(); ++i) {
+    pass(2);
+    for (const auto& order : exchange(worker))
+      if (order.verb == Verb::stop) stops.push_back(order);
+  }
+  ASSERT_EQ(stops.size(), 1u);
+  EXPECT_EQ(stops[0].task.job, JobId("job-2"));
+}
+
 }  // namespace dockdyke::testing
