--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -195,6 +195,15 @@
   EXPECT_EQ(seen<Discard>()[0].keys[0], key::linger(JobId("job-1")));
 }
 
+TEST_F(SafetyTest, CopyOfAJobCancelledBeforeItWasHeardOfIsRemovedOnce) {
+  // Found by random troubles: news of the cancellation came first, and the copy stayed in the store for ever.
+  loaded();
+  cluster.apply(JobOffRecord{JobId("job-1")}, now);
+  cluster.apply(JobOffRecord{JobId("job-1")}, now);  // by the watch, too
+  ASSERT_EQ(seen<Discard>().size(), 1u);
+  EXPECT_EQ(seen<Discard>()[0].keys, std::vector<std::string>{key::linger(JobId("job-1"))});
+}
+
 TEST_F(SafetyTest, TaskCancelledBeforeTheTakeOverIsStillStoppedAndCounted) {
   inherit(job_spec("job-1", 1), {{0, 1, MachineId("n-1"), false}}, true);
   loaded();
