--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -443,14 +443,18 @@
     }
     const auto zones = zone_room(job);
     // Room for all that waits: made for one task at a time, an array of two dozen took most of a minute.
-    // Where zones matter it goes step by step all the same.
+    // Where zones matter, and where what is stopped is more than work for idle hours, it goes step by step
+    // all the same: most of an array finds room that frees, and on a small fleet stopping all at once cost
+    // more than it gained.
     std::size_t wanted = zones ? 1 : std::min<std::size_t>(job.waiting(), limit_room(job));
     struct Chance {
       double loss = 0;  // for each task that it makes room for
       Machine* machine = nullptr;
       std::vector<PlacedTask> victims;
       std::size_t tasks = 0;
+      bool dear = false;
     };
+    bool coming = false;  // room for one task at least, whoever else counts on it
     std::vector<Chance> chances;
     looks_ += open->size();
     for (Machine* machine : *open) {
@@ -459,7 +463,6 @@
       if (zones && (!zones->contains(machine->zone) || zones->at(machine->zone) == 0)) continue;
       if (job.failed_on.contains(machine->id)) continue;
       auto free = room(*machine);
-      if (auto taken = claimed.find(machine); taken != claimed.end()) free -= taken->second;
       std::vector<std::pair<double, PlacedTask>> victims;
       for (const auto& task : machine->placements) {
         const Job& other = *task.job;
@@ -476,6 +479,8 @@
                                task);
         }
       }
+      coming = coming || job.spec.each.fits_into(free);
+      if (auto taken = claimed.find(machine); taken != claimed.end()) free -= taken->second;
       // What is free or will be by earlier stops is waited for.
       for (; wanted > 0 && job.spec.each.fits_into(free); --wanted) {
         free -= job.spec.each;
@@ -487,6 +492,9 @@
       double loss = 0;
       std::vector<PlacedTask> chosen;
       for (const auto& [cost, task] : victims) {
+        const bool dear = task.job->spec.priority > wire::Priority::low;
+        if (dear && chance.tasks > 0) break;
+        chance.dear = chance.dear || dear;
         free += task.job->spec.each;
         chosen.push_back(task);
         loss += cost + 1;
@@ -495,7 +503,7 @@
         chance.victims.insert(chance.victims.end(), chosen.begin(), chosen.end());
         chance.loss = loss;
         chosen.clear();
-        if (chance.tasks >= wanted) break;
+        if (chance.tasks >= wanted || chance.dear) break;
       }
       if (chance.tasks == 0) continue;
       chance.loss /= static_cast<double>(chance.tasks);
@@ -505,6 +513,8 @@
                      [](const Chance& a, const Chance& b) { return a.loss < b.loss; });
     for (const auto& chance : chances) {
       if (wanted == 0) break;
+      if (chance.dear && coming) continue;
+      coming = true;
       const std::size_t tasks = std::min(wanted, chance.tasks);
       for (const auto& victim : chance.victims) stop(victim.placement(), victim.job->spec.save_s);
       claimed[chance.machine] += job.spec.each * static_cast<double>(tasks);
--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -553,6 +553,31 @@
   EXPECT_EQ(stops, 8u) << "all of it makes way in one pass";
 }
 
+TEST_F(JudgementTest, WorkThatOwnersWaitForMakesWayStepByStep) {
+  // Stopped all at once for an urgent array, most of which finds room that frees, it cost a small fleet more
+  // than it gained.
+  loaded();
+  std::vector<Worker> workers;
+  for (const char* name : {"n-1", "n-2"}) workers.push_back(ready_worker(name));
+  auto usual_work = job_spec("job-1", 8, 2);
+  usual_work.estimate_s = 300;
+  submit(usual_work);
+  for (int i = 0; i < 2; ++i)
+    for (auto& worker : workers)
+      for (const auto& order : exchange(worker))
+        if (order.verb == Verb::start)
+          worker.shows(order.task.job.value, order.task.index, order.attempt, TaskState::running);
+  auto urgent = job_spec("job-2", 4, 4);
+  urgent.priority = wire::Priority::high;
+  submit(urgent);
+  std::size_t stops = 0;
+  for (int i = 0; i < 6 && stops == 0; ++i) {
+    pass(1.5);
+    for (auto& worker : workers) stops += count(exchange(worker), Verb::stop);
+  }
+  EXPECT_EQ(stops, 2u) << "room for one task of it";
+}
+
 TEST_F(JudgementTest, NoMoreIsStoppedThanAnUrgentJobNeeds) {
   loaded();
   std::vector<Worker> workers;
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -39,6 +39,10 @@
   bool hang = false;  // one of the machines hangs from the cancellation on
 };
 
+void PrintTo(const Gap& gap, std::ostream* out) {
+  *out << gap.name;
+}
+
 class GapTest : public ::testing::TestWithParam<Gap> {};
 
 TEST_P(GapTest, CancelledTasksGoWithinTheirTime) {
@@ -143,6 +147,10 @@
   void (*play)(World& world);
 };
 
+void PrintTo(const Meeting& meeting, std::ostream* out) {
+  *out << meeting.name;
+}
+
 class MeetingTest : public ::testing::TestWithParam<Meeting> {};
 
 TEST_P(MeetingTest, KeepsTheRulesAndServesAllInTheEnd) {
