--- a/tests/judgement_test.cpp
+++ b/tests/judgement_test.cpp
@@ -520,88 +520,61 @@
   EXPECT_EQ(cluster.job(JobId("job-2"))->placements.size(), 2u);
 }
 
-TEST_F(JudgementTest, RoomIsMadeAtOnceForAllWaitingTasksOfAnUrgentJob) {
-  // Made for one task every 2 s, an array of 25 waited for most of a minute beside work for idle hours.
-  loaded();
-  std::vector<Worker> workers;
-  for (const char* name : {"n-1", "n-2"}) workers.push_back(ready_worker(name));
-  auto idle_work = job_spec("job-1", 8, 2);
-  idle_work.priority = wire::Priority::low;
-  idle_work.estimate_s = 300;
-  submit(idle_work);
-  const auto exchange_all = [&] {
+// Two machines full of one job's work, and an urgent job that finds no room.
+class PreemptionTest : public JudgementTest {
+ protected:
+  void fill(wire::Priority priority) {
+    loaded();
+    for (const char* name : {"n-1", "n-2"}) workers.push_back(ready_worker(name));
+    auto work = job_spec("job-1", 8, 2);
+    work.priority = priority;
+    work.estimate_s = 300;
+    submit(work);
+    exchange_all();
+    exchange_all();
+  }
+  // Starts what is ordered; returns how many orders to stop came.
+  std::size_t exchange_all() {
     std::size_t stops = 0;
-    for (auto& worker : workers) {
+    for (auto& worker : workers)
       for (const auto& order : exchange(worker)) {
         if (order.verb == Verb::start)
           worker.shows(order.task.job.value, order.task.index, order.attempt, TaskState::running);
         stops += order.verb == Verb::stop;
       }
+    return stops;
+  }
+  // The most orders to stop in one round of reports, from the urgent job's coming on.
+  std::size_t stops_for_urgent(TaskIndex tasks, bool first_round_only) {
+    auto urgent = job_spec("job-2", tasks, 4);
+    urgent.priority = wire::Priority::high;
+    submit(urgent);
+    std::size_t stops = 0;
+    for (int i = 0; i < 6 && (stops == 0 || !first_round_only); ++i) {
+      pass(1.5);
+      stops = std::max(stops, exchange_all());
     }
     return stops;
-  };
-  exchange_all();
-  exchange_all();
-  auto urgent = job_spec("job-2", 4, 4);
-  urgent.priority = wire::Priority::high;
-  submit(urgent);
-  std::size_t stops = 0;
-  for (int i = 0; i < 6 && stops == 0; ++i) {
-    pass(1.5);
-    stops = exchange_all();
   }
-  EXPECT_EQ(stops, 8u) << "all of it makes way in one pass";
+  std::vector<Worker> workers;
+};
+
+TEST_F(PreemptionTest, WorkForIdleHoursMakesWayForAllWaitingTasksOfAnUrgentJobAtOnce) {
+  // Made for one task every 2 s, an array of 25 waited for most of a minute.
+  fill(wire::Priority::low);
+  EXPECT_EQ(stops_for_urgent(4, true), 8u);
 }
 
-TEST_F(JudgementTest, WorkThatOwnersWaitForMakesWayStepByStep) {
+TEST_F(PreemptionTest, WorkThatOwnersWaitForMakesWayStepByStep) {
   // Stopped all at once for an urgent array, most of which finds room that frees, it cost a small fleet more
   // than it gained.
-  loaded();
-  std::vector<Worker> workers;
-  for (const char* name : {"n-1", "n-2"}) workers.push_back(ready_worker(name));
-  auto usual_work = job_spec("job-1", 8, 2);
-  usual_work.estimate_s = 300;
-  submit(usual_work);
-  for (int i = 0; i < 2; ++i)
-    for (auto& worker : workers)
-      for (const auto& order : exchange(worker))
-        if (order.verb == Verb::start)
-          worker.shows(order.task.job.value, order.task.index, order.attempt, TaskState::running);
-  auto urgent = job_spec("job-2", 4, 4);
-  urgent.priority = wire::Priority::high;
-  submit(urgent);
-  std::size_t stops = 0;
-  for (int i = 0; i < 6 && stops == 0; ++i) {
-    pass(1.5);
-    for (auto& worker : workers) stops += count(exchange(worker), Verb::stop);
-  }
-  EXPECT_EQ(stops, 2u) << "room for one task of it";
+  fill(wire::Priority::normal);
+  EXPECT_EQ(stops_for_urgent(4, true), 2u) << "room for one task of it";
 }
 
-TEST_F(JudgementTest, NoMoreIsStoppedThanAnUrgentJobNeeds) {
-  loaded();
-  std::vector<Worker> workers;
-  for (const char* name : {"n-1", "n-2"}) workers.push_back(ready_worker(name));
-  auto idle_work = job_spec("job-1", 8, 2);
-  idle_work.priority = wire::Priority::low;
-  idle_work.estimate_s = 300;
-  submit(idle_work);
-  for (int i = 0; i < 2; ++i)
-    for (auto& worker : workers)
-      for (const auto& order : exchange(worker))
-        if (order.verb == Verb::start)
-          worker.shows(order.task.job.value, order.task.index, order.attempt, TaskState::running);
-  auto urgent = job_spec("job-2", 1, 4);
-  urgent.priority = wire::Priority::high;
-  submit(urgent);
-  std::size_t stops = 0;
-  for (int i = 0; i < 6; ++i) {
-    pass(1.5);
-    std::size_t now_stopped = 0;
-    for (auto& worker : workers) now_stopped += count(exchange(worker), Verb::stop);
-    stops = std::max(stops, now_stopped);
-  }
-  EXPECT_EQ(stops, 2u);
+TEST_F(PreemptionTest, NoMoreIsStoppedThanAnUrgentJobNeeds) {
+  fill(wire::Priority::low);
+  EXPECT_EQ(stops_for_urgent(1, false), 2u);
 }
 
 TEST_F(JudgementTest, WorkOfTheLowestPriorityMakesWayFirstWhateverItsLoss) {
