--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <set>
 
 #include "cluster_fixture.hpp"
 #include "core/records.hpp"
@@ -99,6 +100,21 @@
   EXPECT_NO_THROW(wire::parse_job(fine));
 }
 
+TEST(Codec, SubmissionThatLacksAFieldIsRefusedWhicheverItIs) {
+  const std::set<std::string> may_lack = {"builds", "polder", "due_s"};  // those that may be null
+  const auto whole = submission();
+  ASSERT_GE(whole.size(), 19u);
+  for (const auto& [field, value] : whole.items()) {
+    auto body = whole;
+    body.erase(field);
+    if (may_lack.contains(field)) {
+      EXPECT_NO_THROW(wire::parse_job(body)) << field;
+    } else {
+      EXPECT_THROW(wire::parse_job(body), wire::Malformed) << field;
+    }
+  }
+}
+
 TEST(Codec, ReportWithAnUnknownStateIsRefused) {
   Json report{{"dyke", "n-1"},        {"endpoint", "10.1.0.1:9000"},
               {"build", "g8"},        {"polder", "a"},
