--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -208,7 +208,6 @@
          auto spec = job_spec("job-" + std::to_string(60 + i), 4);
          spec.one_zone = i != 2;
          if (i == 2) spec.zone = "b";
-         spec.spread = false;
          spec.estimate_s = 20;
          world.submit(std::move(spec));
        }
