--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -29,8 +29,7 @@
            net::TimePoint asked_at, Listener listener)
     : services_(services),
       config_(config),
-      cluster_(config, leadership.token, seconds_of(services.loop.now()),
-               services.loop.time_of_day_ms()),
+      cluster_(config, leadership.token, seconds_of(services.loop.now()), services.loop.time_of_day_ms()),
       listener_(std::move(listener)),
       work_(services.loop),
       renewed_at_(asked_at),
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -47,6 +47,25 @@
   EXPECT_EQ(placement.attempt, 4u) << "the lost attempt's number is never used again";
 }
 
+TEST_F(SafetyTest, AdoptedTaskThatItsWorkersNextSessionLacksGoesElsewhere) {
+  // Found by random troubles: our answers did not reach the worker for longer than its lease, its reports
+  // went on. The task was not inherited any more and had never been sent by us, and counted as running there
+  // for ever.
+  inherit(job_spec("job-1", 1), {{0, 1, MachineId("n-1"), false}});
+  loaded();
+  Worker worker{"n-1"};
+  worker.shows("job-1", 0, 1, TaskState::running);
+  exchange(worker);
+  exchange(worker);  // under our token: adopted
+  ASSERT_TRUE(cluster.job(JobId("job-1"))->placements.at(0).shown);
+  worker.tasks.clear();
+  worker.session = 2;
+  worker.sequence = 100;
+  exchange(worker);
+  settle();
+  EXPECT_EQ(cluster.job(JobId("job-1"))->tasks[0].attempt, 2u);
+}
+
 TEST_F(SafetyTest, WorkerAnOlderLeaderMayKeepAliveIsDeletedNotPresumedDead) {
   inherit(job_spec("job-1", 1), {{0, 1, MachineId("n-1"), false}});
   loaded();
