--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <utility>
 
 #include "constants.hpp"
@@ -55,17 +56,28 @@
   auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
                            [&](const auto& each) { return each.name == spec.team; });
   if (team == config_.teams.end()) return false;
-  const auto claim = spec.each * (spec.shape == wire::Shape::standing ? spec.tasks : 1.0);
+  // Tasks of an array may run one after the other; all others have to run together.
+  const auto claim = spec.each * (spec.shape == wire::Shape::array ? 1.0 : spec.tasks);
   const auto& limit = team->limit;
   if ((limit.cpus > 0 && claim.cpus > limit.cpus) || (limit.gpus > 0 && claim.gpus > limit.gpus))
     return false;
-  return std::any_of(types_.begin(), types_.end(), [&](const wire::MachineType& type) {
-    if (spec.machine_types && std::find(spec.machine_types->begin(), spec.machine_types->end(), type.name) ==
-                                  spec.machine_types->end())
-      return false;
-    if (spec.zone && std::find(type.zones.begin(), type.zones.end(), *spec.zone) == type.zones.end())
-      return false;
-    return spec.each.fits_into(type.size);
+  std::set<std::string> zones;
+  for (const auto& type : types_) {
+    const auto& allowed = spec.machine_types;
+    if (allowed && std::find(allowed->begin(), allowed->end(), type.name) == allowed->end()) continue;
+    if (!spec.each.fits_into(type.size)) continue;
+    for (const auto& zone : type.zones)
+      if (!spec.zone || *spec.zone == zone) zones.insert(zone);
+  }
+  // At most half of a spread gang's tasks, rounded up, may share a zone.
+  const bool two_zones = spec.shape == wire::Shape::gang && spec.spread && spec.tasks > 1;
+  return two_zones ? zones.size() > 1 && !spec.one_zone : !zones.empty();
+}
+
+void Frontend::drop_unknown_types(wire::JobSpec& spec) const {
+  if (!spec.machine_types) return;
+  std::erase_if(*spec.machine_types, [&](const std::string& name) {
+    return std::none_of(types_.begin(), types_.end(), [&](const auto& type) { return type.name == name; });
   });
 }
 
@@ -126,16 +138,19 @@
 net::Task<HttpResponse> Frontend::commit_submission(wire::JobSpec spec) {
   const auto deadline = loop_.now() + net::seconds(limits::kSubmitBudget);
   const JobId id = spec.id;
-  if (!can_ever_run(spec)) {
-    // A job that was accepted once stays accepted, whatever the machine types have come to be.
+  const bool can_run = can_ever_run(spec);
+  core::JobRecord record;
+  record.spec = std::move(spec);
+  record.submitted_ms = loop_.time_of_day_ms();
+  if (!core::fits_value(record, config_.value_bytes)) drop_unknown_types(record.spec);
+  // Names so long that the store can't hold them are invalid.
+  if (!can_run || !core::fits_value(record, config_.value_bytes)) {
+    // A job that was accepted once stays accepted, whatever types and limits have come to be.
     Found found = co_await find(id, deadline);
     if (found.outcome == Outcome::ok) co_return answer(200, wire::job_answer(id, found.status.stage));
-    if (found.outcome == Outcome::missing) co_return HttpResponse{422, {}, std::nullopt};
+    if (found.outcome == Outcome::missing) co_return HttpResponse{can_run ? 400 : 422, {}, std::nullopt};
     co_return come_back();
   }
-  core::JobRecord record;
-  record.spec = std::move(spec);
-  record.submitted_ms = loop_.time_of_day_ms();
   wire::Transaction txn;
   txn.guards.push_back({core::key::open(id), Revision(0)});
   txn.guards.push_back({core::key::over(id), Revision(0)});
@@ -262,7 +277,8 @@
     if (is_final(found.status.stage) || !found.open)
       co_return answer(200, wire::job_answer(id, found.status.stage));
     const auto txn =
-        core::cancellation(*found.open, found.version, found.status.done, loop_.time_of_day_ms());
+        core::cancellation(*found.open, found.version, found.status.done,
+                                        loop_.time_of_day_ms(), config_.value_bytes);
     store::Result<store::Committed> committed = co_await state_.commit(txn, store::Urgency::high, deadline);
     if (committed) {
       remember(id, {Stage::cancelled, found.status.done, 0});
--- a/src/app/frontend.hpp
+++ b/src/app/frontend.hpp
@@ -61,6 +61,8 @@
   net::Task<Found> find(JobId id, net::TimePoint deadline);
   net::Task<net::HttpResponse> commit_submission(wire::JobSpec spec);
   bool can_ever_run(const wire::JobSpec& spec) const;
+  // Names of types that nobody offers need no room in the record.
+  void drop_unknown_types(wire::JobSpec& spec) const;
   // Answers the polls in line, all that have come together at once, until there are none.
   net::Task<void> answer_polls();
   // Looks up one job and counts down the rest.
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -18,7 +18,7 @@
     : loop_(loop),
       transport_(transport),
       settings_(std::move(settings)),
-      state_(loop, transport, settings_.state, {settings_.state_rps, settings_.state_write_rps}),
+      state_(loop, transport, settings_.state, {settings_.state_rps, settings_.state_write_rps, settings_.state_write_rps_later}),
       cloud_(loop, transport, settings_.cloud, settings_.cluster.cloud_rps),
       frontend_(
           loop, state_, settings_.cluster,
@@ -39,6 +39,8 @@
                                         frontend_.remember(id, status);
                                       }});
                    set_share();
+                   if (state_.write_limit_lowered())
+                     term_->push(core::WriteRateLowered{state_.write_limit()});
                    term_->start(types_);
                  },
                  [this](net::TimePoint asked_at) {
@@ -52,6 +54,12 @@
                    spdlog::info("event=stepped_down");
                  }}) {
   set_share();
+  state_.on_write_limit_seen([this] {
+    spdlog::info("event=write_limit_lowered per_second={}", state_.write_limit());
+    if (term_) term_->push(core::WriteRateLowered{state_.write_limit()});
+    for (const auto& sibling : settings_.siblings)
+      net::spawn(peer::tell_write_limit(transport_, sibling.address));
+  });
 }
 
 void Node::set_share() {
@@ -105,7 +113,8 @@
         store::Result<store::Committed> committed =
             co_await state_.commit(std::move(txn), store::Urgency::background,
                                    loop_.now() + net::seconds(limits::kBackgroundPatience));
-        recorded = committed.outcome == store::Outcome::ok;
+        // A value that is too large stays too large.
+        recorded = committed.outcome == store::Outcome::ok || committed.outcome == store::Outcome::rejected;
       }
     } else if (types_.empty()) {
       store::Result<wire::KeyValue> known =
@@ -214,8 +223,11 @@
   leader_was_slow_ = response ? 0 : leader_was_slow_ + 1;
   if (leader_was_slow_ >= limits::kSlowInARow)
     leader_rests_until_ = loop_.now() + net::seconds(limits::kLeaderRest);
-  // What the leader can't take, perhaps because the store refuses it alone, this controller may be able to.
-  if (response && response->status == 503) co_return std::nullopt;
+  // What the leader can't take, perhaps because the store refuses it alone, this controller may be able to. And
+  // what it calls malformed has passed our own check: it may be of an earlier version.
+  constexpr int kMalformed = 400;
+  constexpr int kUnavailable = 503;
+  if (response && (response->status == kUnavailable || response->status == kMalformed)) co_return std::nullopt;
   co_return response;
 }
 
@@ -263,6 +275,11 @@
       if (term_) term_->push(core::JobOffRecord{JobId(std::move(name))});
     co_return HttpResponse{};
   }
+  if (request.path() == peer::kWriteLimitPath) {
+    state_.lower_write_limit();
+    if (term_ && state_.write_limit_lowered()) term_->push(core::WriteRateLowered{state_.write_limit()});
+    co_return HttpResponse{};
+  }
   if (request.path() != peer::kForwardPath) co_return HttpResponse{404, {}, std::nullopt};
   auto forwarded = peer::decode_forwarded(request.body);
   if (!forwarded) co_return HttpResponse{400, {}, std::nullopt};
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 
 #include "constants.hpp"
@@ -41,6 +42,18 @@
     return number;
   }
 
+  double at_least(const char* field, double least) const {
+    const double number = positive(field);
+    if (number < least) fail(name(field), "must be at least " + std::to_string(static_cast<int>(least)));
+    return number;
+  }
+
+  std::optional<Section> optional_section(const char* field) const {
+    auto found = value_.find(field);
+    if (found == value_.end() || found->is_null()) return std::nullopt;
+    return Section(*found, name(field));
+  }
+
   double amount_or_none(const char* field) const {
     auto found = value_.find(field);
     return found == value_.end() || found->is_null() ? 0 : amount(field, *found);
@@ -80,6 +93,17 @@
   std::string path_;
 };
 
+// Limits of the state service on the size of what is written.
+struct StoreLimits {
+  std::size_t value_bytes = 0;
+  std::size_t txn_ops = 0;
+};
+
+StoreLimits store_limits(const Section& state) {
+  return {static_cast<std::size_t>(state.at_least("value_kb", limits::kLeastValueKb) * 1024),
+          static_cast<std::size_t>(state.at_least("txn_ops", limits::kLeastTxnOps))};
+}
+
 }  // namespace
 
 Settings parse_settings(const std::string& text) {
@@ -123,12 +147,18 @@
   out.cluster.report_s = workers.positive("report_s");
   out.cluster.lease_s = workers.positive("lease_s");
   out.cluster.cancel_s = workers.positive("cancel_s");
+  out.cluster.gang_wait_s = workers.positive("gang_wait_s");
+  out.cluster.gang_peer_s = workers.positive("gang_peer_s");
   const auto state = settings.section("state");
   out.state_rps = state.positive("rps");
   out.state_write_rps = state.positive("write_rps");
   out.cluster.write_rps = out.state_write_rps;
-  out.cluster.value_bytes = static_cast<std::size_t>(state.positive("value_kb") * 1024);
-  out.cluster.txn_ops = static_cast<std::size_t>(std::max(3.0, state.positive("txn_ops")));
+  const StoreLimits limits_now = store_limits(state);
+  const auto next = state.optional_section("next");
+  const StoreLimits limits_later = next ? store_limits(*next) : limits_now;
+  out.state_write_rps_later = std::min(out.state_write_rps, next ? next->positive("write_rps") : out.state_write_rps);
+  out.cluster.value_bytes = std::min(limits_now.value_bytes, limits_later.value_bytes);
+  out.cluster.txn_ops = std::min(limits_now.txn_ops, limits_later.txn_ops);
   const auto cloud = settings.section("cloud");
   out.cluster.cloud_rps = cloud.positive("rps");
   out.cluster.list_lag_s = cloud.amount_or_none("list_lag_s");
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -267,6 +267,11 @@
   if (!lingering || !alive_) co_return false;
   const bool pages = co_await load_pages(records);
   if (!pages || !alive_) co_return false;
+  store::Result<wire::KeyPage> gangs = co_await services_.state.list(core::key::kGangPrefix);
+  if (!gangs || !alive_) co_return false;
+  records.take(gangs.value, [](const wire::KeyValue& item) {
+    return core::GangPartLoaded{item.key, core::parse_gang_part(item.key, item.value)};
+  });
   store::Result<wire::KeyPage> rents = co_await services_.state.list(core::key::kRentPrefix);
   if (!rents || !alive_) co_return false;
   store::Result<wire::KeyPage> returns = co_await services_.state.list(core::key::kReturnPrefix);
@@ -368,7 +373,7 @@
 
 net::Task<void> Term::save(Self self, core::Save save) {
   save.transaction.guards.push_back(self->leader_guard());
-  const Urgency urgency = save.finals.empty() ? Urgency::normal : Urgency::high;
+  const Urgency urgency = save.urgent ? Urgency::high : Urgency::normal;
   while (self->alive_) {
     const auto deadline = self->services_.loop.now() + net::seconds(limits::kBackgroundPatience);
     store::Result<store::Committed> committed =
@@ -388,9 +393,14 @@
       }
       break;
     }
+    if (committed.outcome == Outcome::rejected) {
+      spdlog::error("event=save_rejected number={}", save.number);
+      self->push(core::SaveRejected{save.number});
+      co_await self->services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
+      break;
+    }
     // Refused, or perhaps applied: the same transaction again, which its guards keep from being applied
     // twice.
-    if (committed.outcome == Outcome::rejected) spdlog::error("event=save_rejected number={}", save.number);
     co_await self->services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
   }
   --self->saving_;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -55,6 +55,14 @@
 inline constexpr std::size_t kMaxOrders = 250;
 
 // ---- State service ----------------------------------------------------------------------------------------
+// The lowest limits of the service with which the program can work: KiB of a value, and changes a transaction
+// (a cancellation needs three at once).
+inline constexpr double kLeastValueKb = 1;
+inline constexpr double kLeastTxnOps = 3;
+// Writes refused for the rate, within so many seconds, that show the announced lower limit to be in force. One
+// or two also come from the moments in which two controllers think they lead.
+inline constexpr std::size_t kRateRefusals = 4;
+inline constexpr double kRateRefusalWindow = 5.0;
 // Seconds one call may take; usual answers take some ms, rare ones a few hundred.
 inline constexpr double kStateTimeout = 1.5;
 // Seconds a watch may wait at the service. Short, since a completed watch is what proves the leader's view
@@ -217,6 +225,8 @@
 // Pages kept before the oldest is carried over into the newest: this many, and one more for so many entries.
 inline constexpr std::size_t kPagesKept = 24;
 inline constexpr std::size_t kEntriesPerPage = 200;
+// Bytes below which pages are not made smaller when the store refuses them: several tasks still fit.
+inline constexpr std::size_t kLeastPage = 300;
 // Transactions of the leader in flight at once; further changes wait and are merged meanwhile.
 inline constexpr std::size_t kSavesInFlight = 8;
 
@@ -338,6 +348,21 @@
 // Share of the cloud's calls that may be rentals.
 inline constexpr double kRentShare = 0.6;
 
+// ---- Gangs ------------------------------------------------------------------------------------------------
+// Share of `gang_wait_s`, and report periods, after which a gang whose tasks have not all been seen on their
+// machines is given up: a start needs one report period, and one that got lost a second.
+inline constexpr double kGangAssembleShare = 0.5;
+inline constexpr double kGangAssembleReports = 4.0;
+// Share of a report round for which a gang waits until enough machines can be answered at the same moment.
+inline constexpr double kGangOpenShare = 0.5;
+// Seconds a gang waits before room is kept for it, and for how long that is at the most.
+inline constexpr double kGangKeepAfter = 6.0;
+inline constexpr double kGangKeep = 30.0;
+// Seconds of a task's time that each sign of a slow machine counts as: all tasks go at the slowest one's pace.
+inline constexpr double kSlowSignWeight = 20.0;
+// GB a second that any machine is taken to fetch at the least, to divide by.
+inline constexpr double kLeastFetch = 0.01;
+
 // ---- Logging ----------------------------------------------------------------------------------------------
 // Bins of the histogram of submission times and their range (s); a bin is a quarter wider than the last.
 inline constexpr unsigned kLatencyBins = 40;
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -9,23 +9,6 @@
 
 using wire::MachineStage;
 
-namespace {
-
-// How many tasks of this size fit into this room.
-std::size_t fitting(const wire::Resources& each, const wire::Resources& room) {
-  constexpr double kRounding = 1e-6;
-  double count = limits::kDemandTasks;
-  auto bound = [&](double need, double have) {
-    if (need > 0) count = std::min(count, std::floor(std::max(0.0, have + kRounding) / need));
-  };
-  bound(each.cpus, room.cpus);
-  bound(each.gpus, room.gpus);
-  bound(each.memory_gb, room.memory_gb);
-  return static_cast<std::size_t>(count);
-}
-
-}  // namespace
-
 // ---- What the cloud says ----------------------------------------------------------------------------------
 
 void Cluster::on(const TypesChanged& command, Time) {
@@ -174,187 +157,6 @@
   give_back(std::move(lost), now);
 }
 
-std::optional<Offer> Cluster::best_offer(const Job& job, std::size_t tasks, bool ordinary,
-                                         const std::set<std::size_t>& avoided, const Zones& zones,
-                                         const std::map<std::string, std::size_t>& in_zone, Time now) const {
-  std::optional<Offer> best;
-  std::pair<double, std::size_t> best_rank;
-  for (std::size_t number = 0; number < types_.size(); ++number) {
-    const auto& type = types_[number];
-    if (!job.suits_type(number) || avoided.contains(number)) continue;
-    const auto fit = fitting(job.spec.each, type.size);
-    const double machines = std::ceil(static_cast<double>(tasks) / static_cast<double>(fit));
-    for (const auto& zone : type.zones) {
-      if (zones && (!zones->contains(zone) || zones->at(zone) == 0)) continue;
-      for (bool spot : {true, false}) {
-        if (!allowed_on(job, number, zone, spot) || (!spot && !ordinary)) continue;
-        if (resting({type.name, zone, spot}, now)) continue;
-        const double price = (spot ? type.spot_price : type.price) * machines;
-        auto there = in_zone.find(zone);
-        const std::pair rank(price, there == in_zone.end() ? 0 : there->second);
-        if (!best || rank < best_rank) {
-          best = Offer{type.name, zone, spot};
-          best_rank = rank;
-        }
-      }
-    }
-  }
-  return best;
-}
-
-bool Cluster::needs_ordinary(const Ranked& ranked, Time now) const {
-  const Job& job = *ranked.job;
-  if (!job.spec.spot_allowed) return true;
-  // However far away its objective is, nobody's work waits for ever for a cheaper machine.
-  if (now - job.waiting_since >= limits::kOrdinaryPatience) return true;
-  return ranked.reachable &&
-         ranked.due - now - job.expected_s - quickest_boot_s(job) < limits::kOrdinarySlack;
-}
-
-// Machines that are alike in type, zone, kind and free room (rounded down), counted together: a fleet of many
-// hundred is worked through in a few dozen steps.
-struct Cluster::Rooms {
-  std::size_t type = 0;
-  std::string zone;
-  bool spot = false;
-  wire::Resources room;
-  std::size_t count = 0;
-};
-
-std::vector<bool> Cluster::pressed_types(Time now) {
-  std::vector<bool> pressed(types_.size());
-  for (const auto& ranked : ranking(now)) {
-    const Job& job = *ranked.job;
-    if (job.waiting() == 0 || now < job.not_before) continue;
-    const bool waits =
-        std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
-          return objective.kind == Objective::Kind::wait && objective.job_class == job.spec.job_class &&
-                 now - job.waiting_since >
-                     std::max(limits::kShortWait, limits::kPressedShare * objective.within_s);
-        });
-    for (std::size_t i = 0; waits && i < pressed.size(); ++i) pressed[i] = pressed[i] || job.suits_type(i);
-  }
-  return pressed;
-}
-
-std::vector<Cluster::Rooms> Cluster::free_rooms(Time now) {
-  const auto pressed = pressed_types(now);
-  using Key = std::tuple<std::size_t, std::string, bool, long, long, long>;
-  std::map<Key, std::size_t> counts;
-  auto steps = [](double amount) { return static_cast<long>(std::floor(amount / limits::kRoomStep + 1e-6)); };
-  auto add = [&](std::size_t type, const std::string& zone, bool spot, const wire::Resources& room,
-                 std::size_t count) {
-    const Key key(type, zone, spot, steps(room.cpus), steps(room.gpus), steps(room.memory_gb));
-    if (std::get<3>(key) > 0) counts[key] += count;
-  };
-  for (const auto& [id, machine] : machines_) {
-    if (!type_of(machine) || machine.returning || machine.draining || machine.ends_at) continue;
-    wire::Resources free = room(machine);
-    if (machine.state == MachineState::up) {
-      if (!accepts(machine, now)) continue;
-      for (const auto& task : machine.placements)
-        if (pressed[machine.type_number] ? nearly_done(*task.job, task.placement(), now)
-                                         : frees_soon(*task.job, task.placement(), now))
-          free += task.job->spec.each;
-    } else if (machine.state != MachineState::booting || late(machine, now)) {
-      continue;
-    }
-    add(machine.type_number, machine.zone, machine.spot, free, 1);
-  }
-  for (const auto& [id, pending] : rents_)
-    if (const auto type = type_number(pending.rental.type); type != kNoType)
-      add(type, pending.rental.zone, pending.rental.spot, types_[type].size, pending.rental.count);
-  std::vector<Rooms> rooms;
-  for (const auto& [key, count] : counts) {
-    const auto& [type, zone, spot, cpus, gpus, memory] = key;
-    rooms.push_back(
-        {type, zone, spot,
-         wire::Resources{static_cast<double>(cpus), static_cast<double>(gpus), static_cast<double>(memory)} *
-             limits::kRoomStep,
-         count});
-  }
-  return rooms;
-}
-
-std::map<Offer, std::size_t> Cluster::needed_machines(std::size_t most, Time now) {
-  auto rooms = free_rooms(now);
-  std::map<std::string, std::size_t> in_zone;
-  for (const auto& [id, machine] : machines_) ++in_zone[machine.zone];
-  for (const auto& [id, pending] : rents_) in_zone[pending.rental.zone] += pending.rental.count;
-
-  std::map<Offer, std::size_t> needed;
-  count_.waiting_tasks = 0;
-  std::size_t looked_at = 0;
-  for (const auto& ranked : ranking(now)) {
-    const Job& job = *ranked.job;
-    if (job.waiting() == 0 || now < job.not_before || looked_at >= limits::kDemandTasks) continue;
-    std::size_t left =
-        std::min<std::size_t>({job.waiting(), limit_room(job), limits::kDemandTasks - looked_at});
-    looked_at += left;
-    count_.waiting_tasks += left;
-    auto zones = zone_room(job);
-    const auto avoided = avoided_types(ranked, now);
-    // Fills machines of one group; what is left of each is a group of its own.
-    auto take = [&](std::size_t group) {
-      const Rooms each = rooms[group];
-      if (avoided.contains(each.type) || !allowed_on(job, each.type, each.zone, each.spot)) return;
-      std::size_t fits = std::min(left, fitting(job.spec.each, each.room) * each.count);
-      if (zones) {
-        auto zone = zones->find(each.zone);
-        fits = zone == zones->end() ? 0 : std::min(fits, zone->second);
-      }
-      if (fits == 0) return;
-      const std::size_t per_machine = fitting(job.spec.each, each.room);
-      const std::size_t whole = fits / per_machine;
-      auto split = [&](std::size_t machines, std::size_t tasks) {
-        if (machines == 0) return;
-        Rooms rest = each;
-        rest.room -= job.spec.each * static_cast<double>(tasks);
-        rest.count = machines;
-        rooms[group].count -= machines;
-        rooms.push_back(std::move(rest));
-      };
-      split(whole, per_machine);
-      if (fits % per_machine != 0) split(1, fits % per_machine);
-      left -= fits;
-      if (zones && job.spec.spread) zones->at(each.zone) -= fits;
-      if (zones && job.spec.one_zone)
-        for (auto& [name, open] : *zones)
-          if (name != each.zone) open = 0;
-    };
-    const std::size_t groups = rooms.size();
-    bool any_holds = false;
-    for (std::size_t i = 0; i < groups; ++i) {
-      if (rooms[i].count == 0) continue;
-      any_holds = any_holds || allowed_on(job, rooms[i].type, rooms[i].zone, rooms[i].spot);
-      if (left > 0) take(i);
-    }
-    std::erase_if(rooms, [](const Rooms& each) { return each.count == 0; });
-    // A short wait for machines that are about to free; a task no present machine could hold rents at once.
-    if (left == 0 || (any_holds && now - job.waiting_since < limits::kShortWait)) continue;
-    const bool ordinary = needs_ordinary(ranked, now);
-    while (left > 0 && most > 0) {
-      const auto offer = best_offer(job, left, ordinary, avoided, zones, in_zone, now);
-      if (!offer) break;
-      const auto& [type, zone, spot] = *offer;
-      const auto rented = type_number(type);
-      const auto& size = types_[rented].size;
-      const std::size_t per_machine = std::max<std::size_t>(1, fitting(job.spec.each, size));
-      // As many as it needs, but turn by turn where its zones or the next offer matter.
-      const std::size_t count =
-          zones ? 1 : std::min({most, (left + per_machine - 1) / per_machine, limits::kMaxRent});
-      rooms.push_back({rented, zone, spot, size, count});
-      needed[*offer] += count;
-      in_zone[zone] += count;
-      most -= count;
-      const auto before = left;
-      take(rooms.size() - 1);
-      if (left == before) break;
-    }
-  }
-  return needed;
-}
-
 void Cluster::rent(const Offer& offer, std::size_t count, Time now) {
   wire::Rental rental;
   // The token is this leadership's alone, so the name was never used before and never will be.
@@ -383,7 +185,7 @@
   PlacedTasks out;
   for (const auto& [id, job] : jobs_)
     for (const auto& [index, placement] : job.placements) {
-      out.unsent += !placement.sent && !placement.shown && !placement.inherited;
+      out.unsent += placement.unsent();
       out.fetching += placement.shown && placement.state == wire::TaskState::fetching;
       out.running += placement.shown && placement.state == wire::TaskState::running;
     }
@@ -398,24 +200,6 @@
   return size;
 }
 
-std::size_t Cluster::rent_for_waiting(std::size_t most, Time now) {
-  // Not only at the tick: every offer that is refused or partly filled would cost a whole tick before the
-  // next is tried (31 s for the first fleet of a day, seen in simulation).
-  auto calls =
-      static_cast<std::size_t>(std::max(1.0, config_.cloud_rps * limits::kHousekeeping * limits::kRentShare));
-  std::size_t renting = 0;
-  for (auto [offer, machines] : needed_machines(most, now)) {
-    // A large need takes several calls, each of them full.
-    for (; machines > 0 && calls > 0; --calls) {
-      const auto count = std::min<std::size_t>(machines, limits::kMaxRent);
-      rent(offer, count, now);
-      machines -= count;
-      renting += count;
-    }
-  }
-  return renting;
-}
-
 void Cluster::replace_ordinary(std::size_t most, Time now) {
   // Work on ordinary machines that may use spot ones: these cost a fraction, and once they are up the
   // ordinary ones run empty and go back. Only a load that has lasted counts, as a boot outlasts most single
@@ -523,6 +307,7 @@
   std::size_t idle_left = idle.size();
   for (const Machine* machine : idle) {
     const double boots = machine->spot ? limits::kHoldBoots : limits::kHoldBootsOrdinary;
+    if (machine->kept_for != 0) continue;
     if (now - machine->idle_since < boots * type_of(*machine)->boot_s) continue;
     ++count_.underwhelmed;
     if (idle_left <= wanted_free || fleet - back.size() <= config_.min_machines) break;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -13,7 +13,14 @@
 using wire::TaskState;
 
 Cluster::Cluster(Config config, Token token, Time now, std::int64_t time_of_day_ms)
-    : config_(std::move(config)), token_(token), elected_at_(now), elected_ms_(time_of_day_ms) {}
+    : config_(std::move(config)),
+      token_(token),
+      elected_at_(now),
+      elected_ms_(time_of_day_ms),
+      page_bytes_(config_.value_bytes - std::min(config_.value_bytes, limits::kPageMargin)),
+      part_bytes_(page_bytes_),
+      // Each end of a job is a put and a removal.
+      ends_per_save_(std::max<std::size_t>(1, config_.txn_ops / 2)) {}
 
 void Cluster::apply(const Command& command, Time now) {
   std::visit([&](const auto& each) { on(each, now); }, command);
@@ -103,7 +110,7 @@
   page.confirmed = true;
   for (const auto& [id, tasks] : command.page) {
     auto found = jobs_.find(id);
-    if (found == jobs_.end()) continue;
+    if (found == jobs_.end() || found->second.is_gang()) continue;
     Job& job = found->second;
     for (const auto& task : tasks) {
       if (task.index >= job.spec.tasks) continue;
@@ -148,6 +155,7 @@
         job.returned.insert(index);
       }
     }
+    if (job.is_gang()) take_over_gang(job, now);
     if (job.cancelled) {
       stop_all(job, now);
       gone.push_back(&job);
@@ -157,10 +165,11 @@
     }
   }
   loaded_places_.clear();
+  loaded_gangs_.clear();
   for (Job* job : gone) drop_if_gone(*job, now);
   for (auto page = pages_.begin(); page != pages_.end();) {
     const bool dead = page->second.live == 0;
-    if (dead) dead_pages_.push_back(page->second.key);
+    if (dead) dead_keys_.push_back(page->second.key);
     page = dead ? pages_.erase(page) : std::next(page);
   }
 }
@@ -196,7 +205,7 @@
   job.unwritten.clear();
   std::vector<TaskIndex> never_sent;
   for (auto& [index, placement] : job.placements) {
-    if (!placement.sent && !placement.shown && !placement.inherited) {
+    if (placement.unsent()) {
       never_sent.push_back(index);
     } else {
       // Also for a start still in flight: the order to stop is repeated until a report proves it gone.
@@ -212,6 +221,7 @@
   if (!(job.cancelled || (job.complete() && !job.finishing)) || !job.placements.empty()) return;
   const JobId id = job.spec.id;
   if (job.cancelled) discard({key::linger(id)});
+  if (!job.gang.keys.empty()) discard(std::move(job.gang.keys));
   forget_entries(job);
   over_[id] = now;
   by_serial_.erase(job.serial);
@@ -263,6 +273,11 @@
   }
   *job.team_usage -= job.spec.each;
   job.placements.erase(found);
+  if (job.is_gang()) {
+    if (!job.complete() && !job.cancelled) gang_task_released(job, now);
+    place_wanted_ = true;
+    return;
+  }
   if (!job.complete()) touch(job, index);
   if (!job.tasks[index].done && !job.cancelled) {
     if (job.waiting() == 0) {
@@ -293,7 +308,7 @@
   const auto placements = machine.placements;
   for (const auto& task : placements) {
     const Placement& placement = task.placement();
-    if (!placement.sent && !placement.shown && !placement.inherited) release(*task.job, task.index, now);
+    if (placement.unsent()) release(*task.job, task.index, now);
   }
 }
 
@@ -359,6 +374,7 @@
   bool heeded = !forgotten.empty();
   bool unheeded = false;
   std::vector<std::pair<PlacedTask, const ReportedTask*>> exited;
+  std::vector<Job*> finished_gangs;
   for (const auto& task : report.tasks) {
     auto job = jobs_.find(task.task.job);
     Placement* placement = nullptr;
@@ -369,6 +385,9 @@
         placement = &found->second;
     }
     const bool ended = task.state == TaskState::exited;
+    // Of whatever attempt: a gang that has completed has done so for good.
+    if (ended && task.cause == ExitCause::done && job != jobs_.end() && job->second.is_gang())
+      finished_gangs.push_back(&job->second);
     if (placement) {
       heeded = heeded || (placement->sent && !placement->shown);
       placement->shown = true;
@@ -393,6 +412,7 @@
       unheeded = true;
     }
   }
+  for (Job* job : finished_gangs) gang_done(*job, now);
   for (const auto& [task, shown] : exited) {
     task_exited(*task.job, task.index, machine, *shown, now);
     drop_if_gone(*task.job, now);
@@ -403,7 +423,7 @@
   for (const auto& task : placements) {
     const Placement& placement = task.placement();
     if (placement.shown && placement.shown_in == machine.reports) continue;
-    if (!placement.inherited && !placement.sent && !placement.shown) {
+    if (placement.unsent()) {
       // Its start has yet to go out, and one that is to be stopped will not: kept, it waited for ever for a
       // report to show what was never there. One taken over from an earlier leader was not sent by us either,
       // but it has been shown: counted here, it ran for ever once its worker's lease had run out between
@@ -441,7 +461,7 @@
   const Placement placement = job.placements.at(index);
   switch (task.cause) {
     case ExitCause::done:
-      if (job.spec.shape == wire::Shape::batch) {
+      if (job.spec.shape == wire::Shape::array && !job.tasks[index].done) {
         job.tasks[index].done = true;
         ++job.done_count;
         job.begun = true;
@@ -468,7 +488,8 @@
       }
       break;
     case ExitCause::error:
-      task_failed(job, machine, now);
+      // A gang's tasks fail together, which counts once.
+      if (!job.is_gang() || !std::exchange(job.gang.blamed, true)) task_failed(job, machine, now);
       break;
     case ExitCause::no_room:
       machine.no_room_until = now + limits::kNoRoomBackoff;
@@ -479,6 +500,8 @@
       break;
     case ExitCause::stopped:
     case ExitCause::busy:
+    case ExitCause::peer_lost:
+    case ExitCause::gang_incomplete:
     case ExitCause::none:
       break;
   }
@@ -537,7 +560,7 @@
   for (const auto& task : machine.placements) {
     const auto& spec = task.job->spec;
     Placement& placement = task.placement();
-    if (placement.stopping || placement.attempt > 1 || spec.shape == wire::Shape::standing) continue;
+    if (placement.stopping || placement.attempt > 1 || spec.shape != wire::Shape::array) continue;
     const double ran_s = placement.running_since > 0 ? now - placement.running_since : 0;
     // One that is nearly through even so is better left alone; one that saves loses little.
     if (spec.checkpoint_s > 0 || ran_s < limits::kSurelySlowTimes * task.job->mean_run_s())
@@ -582,9 +605,9 @@
     const wire::TaskRef ref{task.job->spec.id, task.index};
     if (placement.stopping) {
       orders.push_back({wire::Verb::stop, ref, placement.attempt, placement.grace_s});
-    } else if (allow_starts && !placement.sent && !placement.shown && !placement.inherited &&
+    } else if (allow_starts && placement.unsent() &&
                !machine.draining && !machine.ends_at && !machine.returning &&
-               task.job->tasks[task.index].durable()) {
+               task.job->place_on_record(task.index)) {
       orders.push_back({wire::Verb::start, ref, placement.attempt, 0});
       placement.sent = true;
       placement.sent_session = machine.session;
@@ -598,7 +621,7 @@
   if (task.cause != ExitCause::done) return true;
   auto job = jobs_.find(task.task.job);
   return job == jobs_.end() || job->second.cancelled || task.task.index >= job->second.spec.tasks ||
-         job->second.tasks[task.task.index].durable();
+         job->second.result_on_record(task.task.index);
 }
 
 bool Cluster::awaits_answer(const wire::Report& report) const {
@@ -626,8 +649,9 @@
   }
   for (const auto& task : machine.placements) {
     const Placement& placement = task.placement();
-    const bool unsent = !placement.sent && !placement.shown && !placement.inherited;
-    if (unsent && !placement.stopping && !task.job->tasks[task.index].durable()) return Hold::save;
+    const bool unsent = placement.unsent();
+    if (unsent && !placement.stopping && !task.job->gang.broken && !task.job->place_on_record(task.index))
+      return Hold::save;
     orders = orders || unsent || placement.stopping;
   }
   return orders || !machine.placements.empty() ? Hold::none : Hold::idle;
@@ -670,6 +694,11 @@
   give_back(std::move(held), now);
 }
 
+bool Cluster::all_on(const Job& job, const Machine& machine) {
+  return std::all_of(job.placements.begin(), job.placements.end(),
+                     [&](const auto& each) { return each.second.machine == &machine; });
+}
+
 void Cluster::stop_for_notices(Machine& machine, Time now) {
   if (!machine.ends_at) return;
   withdraw_unsent(machine, now);
@@ -678,12 +707,13 @@
     const auto& spec = task.job->spec;
     Placement& placement = task.placement();
     if (placement.stopping) continue;
+    if (task.job->is_gang() && !all_on(*task.job, machine)) continue;
     const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
     const double remaining = std::max(0.0, task.job->expected_s - ran);
     if (spec.checkpoint_s > 0) {
       // Orders travel only with answers, so the last chance is a report period before it is needed.
       if (left <= spec.save_s + limits::kNoticeMargin + 1.25 * config_.report_s) stop(placement, spec.save_s);
-    } else if (spec.shape == wire::Shape::standing || remaining > left) {
+    } else if (spec.shape == wire::Shape::service || remaining > left) {
       stop(placement, 0);  // it can't end here: the sooner it starts again elsewhere the better
     }
   }
@@ -694,16 +724,19 @@
   std::erase_if(tombstones_, outdated);
   std::erase_if(over_, outdated);
   if (!loaded_) return;
-  if (!dead_pages_.empty()) discard(std::exchange(dead_pages_, {}));
+  if (!dead_keys_.empty()) discard(std::exchange(dead_keys_, {}));
   delete_cancelled_work(now);
   expire_leases(now);
   judge_machines(now);
+  watch_gangs(now);
   for (auto& [id, machine] : machines_) {
     stop_for_notices(machine, now);
     leave_slow_machine(machine, now);
   }
   ranking_stale_ = true;
   find_scarce_types(now);
+  place_gangs_anywhere(now);
+  keep_room_for_gang(now);
   if (now - preempted_at_ >= limits::kPreemptEvery) {
     preempted_at_ = now;
     make_room(now);
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -28,6 +28,11 @@
   std::string key;
   PageRecord page;
 };
+// After all jobs.
+struct GangPartLoaded {
+  std::string key;
+  GangPart part;
+};
 struct RentLoaded {
   wire::Rental rental;
 };
@@ -53,6 +58,14 @@
   std::uint64_t number;
   std::vector<std::string> failed;
 };
+// The store called the transaction wrong, most likely for its size; nothing was changed.
+struct SaveRejected {
+  std::uint64_t number;
+};
+// The store takes fewer writes a second than it did.
+struct WriteRateLowered {
+  double per_second = 0;
+};
 struct MachinesListed {
   std::vector<wire::ListedMachine> machines;
 };
@@ -72,9 +85,10 @@
 };
 struct Tick {};
 
-using Command = std::variant<JobLoaded, PageLoaded, RentLoaded, ReturnLoaded, LoadDone, JobSubmitted,
-                             JobOffRecord, SaveDone, SaveConflict, MachinesListed, RentAnswered, RentRefused,
-                             MachinesDeleted, TypesChanged, Tick>;
+using Command = std::variant<JobLoaded, PageLoaded, GangPartLoaded, RentLoaded, ReturnLoaded, LoadDone,
+                             JobSubmitted, JobOffRecord, SaveDone, SaveConflict, SaveRejected,
+                             WriteRateLowered, MachinesListed, RentAnswered, RentRefused, MachinesDeleted,
+                             TypesChanged, Tick>;
 
 // ---- Effects ----------------------------------------------------------------------------------------------
 
@@ -82,6 +96,7 @@
 struct Save {
   std::uint64_t number = 0;
   std::vector<JobId> finals;  // jobs whose end it records; their users are waiting
+  bool urgent = false;        // goes ahead of other writes
   wire::Transaction transaction;
 };
 // To be recorded, then asked of the cloud until it answers.
@@ -192,6 +207,7 @@
   // cluster.cpp: records, reports and proofs
   void on(const JobLoaded& command, Time now);
   void on(const PageLoaded& command, Time now);
+  void on(const GangPartLoaded& command, Time now);
   void on(const RentLoaded& command, Time now);
   void on(const ReturnLoaded& command, Time now);
   void on(const LoadDone& command, Time now);
@@ -199,6 +215,8 @@
   void on(const JobOffRecord& command, Time now);
   void on(const SaveDone& command, Time now);
   void on(const SaveConflict& command, Time now);
+  void on(const SaveRejected& command, Time now);
+  void on(const WriteRateLowered& command, Time now);
   void on(const MachinesListed& command, Time now);
   void on(const RentAnswered& command, Time now);
   void on(const RentRefused& command, Time now);
@@ -234,6 +252,8 @@
   // The worker's lease has run out on answers of ours alone.
   bool lease_over(const Machine& machine, Time now) const;
   void stop_for_notices(Machine& machine, Time now);
+  // All the job's places are on this machine.
+  static bool all_on(const Job& job, const Machine& machine);
   bool result_on_record(const wire::ReportedTask& task) const;
 
   // pages.cpp: what happened to tasks, on record
@@ -247,6 +267,7 @@
   void carry_over_oldest(PageRecord& record, Page& page, std::size_t& bytes) const;
   std::size_t pages_kept() const;
   void page_confirmed(PageNumber number);
+  void page_rejected(PageNumber number);
   // The transaction needs no repeating; returns the jobs whose end it was to record.
   std::vector<JobId> save_ended(std::uint64_t number);
   void end_on_record(const JobId& id, Time now);
@@ -254,6 +275,41 @@
   void forget_entries(const Job& job);
   void discard(std::vector<std::string> keys);
 
+  // gangs.cpp
+  struct StoredGang {
+    std::uint32_t job = 0;  // serial
+    Attempt attempt = 0;
+  };
+  // The newest attempt that a new leader has found so far.
+  struct LoadedGang {
+    Attempt attempt = 0;
+    std::uint32_t parts = 0;
+    std::uint32_t seen = 0;
+    std::vector<TaskRecord> tasks;
+  };
+  void take_over_gang(Job& job, Time now);
+  std::optional<Save> next_gang_part();
+  void gang_part_confirmed(const StoredGang& stored);
+  void gang_part_rejected(const StoredGang& stored);
+  void gang_done(Job& job, Time now);
+  // The attempt can't succeed any more; `settle_gangs` stops what is left of it.
+  void break_gang(Job& job);
+  void gang_task_released(Job& job, Time now);
+  void settle_gangs(Time now);
+  // Breaks attempts that are not complete in time.
+  void watch_gangs(Time now);
+  // Places for all tasks of the gang on these machines; none where not all fit.
+  std::vector<GangPlace> gang_places(const Job& job, const std::vector<Machine*>& machines);
+  bool place_gang(Job& job, const std::vector<Machine*>& machines, Time now);
+  // Also on machines that do not wait for an answer at the moment.
+  void place_gangs_anywhere(Time now);
+  std::vector<Machine*> accepting_machines(Time now);
+  // The machine's room is kept for a gang that is not this job.
+  static bool kept_from(const Job& job, const Machine& machine);
+  // Keeps room as it frees for the first gang in line, which smaller work would otherwise take for ever.
+  void keep_room_for_gang(Time now);
+  bool keep_room(const Job& job, Time now);
+
   // placement.cpp
   struct Ranked {
     Job* job;
@@ -321,6 +377,16 @@
   std::vector<Rooms> free_rooms(Time now);
   // Types for which work waits so long that its start objective is in danger.
   std::vector<bool> pressed_types(Time now);
+  // demand.cpp
+  struct Demand;
+  struct Claim;
+  bool may_use(const Claim& claim, const Rooms& rooms) const;
+  // Fills machines of one group with tasks of the job.
+  void take_rooms(Demand& demand, Claim& claim, std::size_t group) const;
+  // Where a gang that must share a zone finds room or is to get it.
+  std::optional<std::string> gang_zone(const Demand& demand, const Claim& claim, bool ordinary, Time now) const;
+  void rent_rest(Demand& demand, Claim& claim, bool ordinary, Time now) const;
+  void meet_claim(Demand& demand, const Ranked& ranked, Claim& claim, Time now) const;
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
   std::optional<Offer> best_offer(const Job& job, std::size_t tasks, bool ordinary,
                                   const std::set<std::size_t>& avoided, const Zones& zones,
@@ -364,7 +430,7 @@
   std::deque<std::uint32_t> unwritten_jobs_;  // serials
   bool page_wanted_ = false;                  // an order waits for the next page
   bool page_was_full_ = false;                // the last one had no room for more
-  std::vector<std::string> dead_pages_;       // keys of pages of which nothing is needed any more
+  std::vector<std::string> dead_keys_;        // keys of which nothing is needed any more
   Time paged_at_ = 0;
   std::size_t pages_in_flight_ = 0;
   std::deque<JobId> unfinished_finals_;
@@ -372,8 +438,16 @@
   struct InFlight {
     PageNumber page = 0;  // 0: finals
     std::vector<JobId> finals;
+    std::optional<StoredGang> gang;
   };
   std::map<std::uint64_t, InFlight> saves_;
+  std::size_t page_bytes_;  // what a page may take of a value, less where the store refused one
+  std::size_t part_bytes_;  // the same for parts of a gang's record
+  std::size_t ends_per_save_;
+  std::deque<GangPart> unwritten_parts_;
+  std::map<std::uint32_t, LoadedGang> loaded_gangs_;  // by serial
+  std::vector<std::uint32_t> broken_gangs_;           // serials
+  Time next_keeping_ = 0;                             // when room may be kept for a gang again
   std::uint64_t next_rent_ = 1;
   std::uint64_t next_return_ = 1;
   bool place_wanted_ = false;
--- /dev/null
+++ b/src/core/gangs.cpp
@@ -0,0 +1,363 @@
+// Gangs: jobs whose tasks all run at the same time or not at all. One attempt number covers all tasks; their
+// machines are chosen together, stored together before the first start, and given up together.
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include "constants.hpp"
+#include "core/cluster.hpp"
+#include "core/room.hpp"
+
+namespace dockdyke::core {
+
+// ---- Records ----------------------------------------------------------------------------------------------
+
+void Cluster::on(const GangPartLoaded& command, Time) {
+  auto found = jobs_.find(command.part.job);
+  if (found == jobs_.end() || !found->second.is_gang()) {
+    dead_keys_.push_back(command.key);
+    return;
+  }
+  Job& job = found->second;
+  job.gang.keys.push_back(command.key);
+  LoadedGang& loaded = loaded_gangs_[job.serial];
+  if (command.part.attempt < loaded.attempt) return;
+  if (command.part.attempt > loaded.attempt) loaded = {command.part.attempt, command.part.parts, 0, {}};
+  ++loaded.seen;
+  loaded.tasks.insert(loaded.tasks.end(), command.part.tasks.begin(), command.part.tasks.end());
+}
+
+void Cluster::take_over_gang(Job& job, Time now) {
+  auto found = loaded_gangs_.find(job.serial);
+  if (found == loaded_gangs_.end()) return;
+  const LoadedGang& loaded = found->second;
+  job.gang.number = loaded.attempt;
+  // Every part is stored before the first start: with one missing, nothing was started under this number. It
+  // is not used again, since a part may still be on its way to the store.
+  if (loaded.seen != loaded.parts) return;
+  job.gang.parts = job.gang.confirmed = loaded.parts;
+  job.gang.placed_at = now;
+  job.next_fresh = job.spec.tasks;
+  for (const auto& task : loaded.tasks) {
+    if (task.index >= job.spec.tasks || job.placements.contains(task.index)) continue;
+    Placement placement;
+    placement.machine = &machine_named(task.machine, now);
+    placement.attempt = loaded.attempt;
+    placement.inherited = true;
+    placement.placed_at = now;
+    put_placement(job, task.index, placement);
+  }
+}
+
+std::optional<Save> Cluster::next_gang_part() {
+  while (!unwritten_parts_.empty()) {
+    const GangPart part = std::move(unwritten_parts_.front());
+    unwritten_parts_.pop_front();
+    auto found = jobs_.find(part.job);
+    if (found == jobs_.end()) continue;
+    Job& job = found->second;
+    // Given up before it was stored: the number is burned.
+    if (job.cancelled || job.gang.broken || job.gang.number != part.attempt) continue;
+    Save save;
+    save.number = next_save_number_++;
+    save.urgent = true;
+    const std::string key = key::gang_part(part.job, part.attempt, part.part);
+    save.transaction.guards.push_back({key, Revision(0)});
+    save.transaction.puts.push_back({key, to_json(part), {}});
+    InFlight in_flight;
+    in_flight.gang = StoredGang{job.serial, part.attempt};
+    saves_.emplace(save.number, std::move(in_flight));
+    return save;
+  }
+  return std::nullopt;
+}
+
+void Cluster::gang_part_confirmed(const StoredGang& stored) {
+  auto found = by_serial_.find(stored.job);
+  if (found == by_serial_.end() || found->second->gang.number != stored.attempt) return;
+  Job& job = *found->second;
+  if (++job.gang.confirmed < job.gang.parts) return;
+  // The records of earlier attempts are needed no more: all their tasks were gone before this one was made.
+  const std::string present = key::kGangPrefix + job.spec.id.value + "/" + std::to_string(stored.attempt) + "/";
+  auto& keys = job.gang.keys;
+  const auto earlier =
+      std::stable_partition(keys.begin(), keys.end(), [&](const auto& key) { return key.starts_with(present); });
+  if (earlier == keys.end()) return;
+  discard(std::vector<std::string>(earlier, keys.end()));
+  keys.erase(earlier, keys.end());
+}
+
+void Cluster::gang_part_rejected(const StoredGang& stored) {
+  // Written in smaller parts under the next number: an earlier try of this one may be stored all the same.
+  auto found = by_serial_.find(stored.job);
+  if (found != by_serial_.end() && found->second->gang.number == stored.attempt) break_gang(*found->second);
+}
+
+// ---- The life of an attempt -------------------------------------------------------------------------------
+
+void Cluster::gang_done(Job& job, Time now) {
+  if (job.complete() || job.cancelled) return;
+  double took_s = 0;
+  std::vector<TaskIndex> never_sent;
+  for (const auto& [index, placement] : job.placements) {
+    if (placement.sent && placement.running_since > 0)
+      took_s = std::max(took_s, now - placement.running_since);
+    if (placement.unsent()) never_sent.push_back(index);
+  }
+  if (took_s > 0) estimates_.observe(job.spec.job_class, job.spec.estimate_s, took_s);
+  // Tasks of a gang complete together: with one of them done, none is ever started again.
+  for (auto& slot : job.tasks) slot.done = true;
+  job.done_count = job.spec.tasks;
+  job.begun = true;
+  job.finishing = true;
+  job.failures = 0;
+  job.failed_on.clear();
+  unfinished_finals_.push_back(job.spec.id);
+  ranking_stale_ = true;
+  for (const auto index : never_sent) release(job, index, now);
+}
+
+void Cluster::break_gang(Job& job) {
+  if (job.gang.broken || job.complete() || job.cancelled) return;
+  job.gang.broken = true;
+  broken_gangs_.push_back(job.serial);
+}
+
+void Cluster::gang_task_released(Job& job, Time now) {
+  if (!job.placements.empty()) {
+    break_gang(job);
+    return;
+  }
+  // All are proved gone: the next attempt may be made.
+  job.gang.broken = false;
+  job.gang.blamed = false;
+  job.returned.clear();
+  job.next_fresh = 0;
+  job.waiting_since = now;
+  ranking_stale_ = true;
+}
+
+void Cluster::settle_gangs(Time now) {
+  for (const auto serial : std::exchange(broken_gangs_, {})) {
+    auto found = by_serial_.find(serial);
+    if (found == by_serial_.end()) continue;
+    Job& job = *found->second;
+    if (!job.gang.broken || job.cancelled || job.complete()) continue;
+    std::vector<TaskIndex> never_sent;
+    for (auto& [index, placement] : job.placements) {
+      if (placement.unsent()) {
+        never_sent.push_back(index);
+      } else if (!placement.stopping) {
+        stop(placement, 0);
+      }
+    }
+    for (const auto index : never_sent) release(job, index, now);
+  }
+}
+
+void Cluster::watch_gangs(Time now) {
+  const double most_s =
+      std::min(limits::kGangAssembleShare * config_.gang_wait_s, limits::kGangAssembleReports * config_.report_s);
+  for (auto& [id, job] : jobs_) {
+    if (!job.is_gang() || job.placements.empty() || job.gang.broken || job.complete() || job.cancelled) continue;
+    if (now - job.gang.placed_at < most_s) continue;
+    // Tasks that have begun to wait give up after `gang_wait_s`. A machine that has not shown its task by now
+    // may not do so in time.
+    for (auto& [index, placement] : job.placements) {
+      if (placement.shown || placement.inherited) continue;
+      placement.machine->no_room_until = now + limits::kNoRoomBackoff;
+      break_gang(job);
+    }
+  }
+}
+
+// ---- Places -----------------------------------------------------------------------------------------------
+
+namespace {
+
+struct Candidate {
+  Machine* machine = nullptr;
+  double fetch_s = 0;
+  double cost = 0;
+  std::size_t fits = 0;
+};
+
+// How good a set of places is: the gang starts when the slowest fetch is over, and the fewer machines it needs
+// to hear from the sooner.
+using Quality = std::tuple<double, std::size_t, double>;
+
+struct Choice {
+  std::vector<GangPlace> places;
+  Quality quality;
+};
+
+// Takes candidates in order until all tasks have a place; nothing when they don't.
+std::optional<Choice> choose(std::vector<Candidate> candidates, std::size_t tasks, std::size_t most_per_zone) {
+  std::sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
+    const auto rank = [&](const Candidate& each) {
+      return std::tuple(each.fetch_s, -static_cast<double>(std::min(each.fits, tasks)), each.cost);
+    };
+    return std::pair(rank(a), a.machine->id) < std::pair(rank(b), b.machine->id);
+  });
+  std::map<std::string, std::size_t> in_zone;
+  Choice choice;
+  double slowest = 0;
+  double cost = 0;
+  for (const auto& each : candidates) {
+    std::size_t& there = in_zone[each.machine->zone];
+    const std::size_t count = std::min({each.fits, tasks, most_per_zone - there});
+    if (count == 0) continue;
+    there += count;
+    tasks -= count;
+    slowest = std::max(slowest, each.fetch_s);
+    cost += each.cost;
+    choice.places.push_back({each.machine, count});
+    if (tasks > 0) continue;
+    choice.quality = {slowest, choice.places.size(), cost};
+    return choice;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::vector<GangPlace> Cluster::gang_places(const Job& job, const std::vector<Machine*>& machines) {
+  const std::size_t tasks = job.spec.tasks;
+  if (limit_room(job) < tasks) return {};
+  const std::size_t most_per_zone =
+      job.spec.spread ? (tasks + 1) / 2 : std::numeric_limits<std::size_t>::max();
+  double largest = 1;
+  for (const auto& type : types_) largest = std::max(largest, type.size.cpus);
+  std::map<std::string, std::vector<Candidate>> groups;  // by zone where all tasks must share one
+  looks_ += machines.size();
+  for (Machine* machine : machines) {
+    if (kept_from(job, *machine)) continue;
+    const auto cost = cost_of(job, *machine, largest);
+    if (!cost) continue;
+    Candidate candidate{machine, 0, *cost, tasks_fitting(job.spec.each, room(*machine))};
+    if (!machine->has_image(job.spec.image))
+      candidate.fetch_s = job.spec.image_gb / std::max(limits::kLeastFetch, type_of(*machine)->fetch_gb_per_s);
+    // All go at the pace of the slowest.
+    candidate.fetch_s += limits::kSlowSignWeight * machine->slow_signs;
+    groups[job.spec.one_zone ? machine->zone : std::string()].push_back(candidate);
+  }
+  std::optional<Choice> best;
+  for (auto& [zone, candidates] : groups) {
+    auto choice = choose(std::move(candidates), tasks, most_per_zone);
+    if (choice && (!best || choice->quality < best->quality)) best = std::move(choice);
+  }
+  return best ? std::move(best->places) : std::vector<GangPlace>{};
+}
+
+bool Cluster::place_gang(Job& job, const std::vector<Machine*>& machines, Time now) {
+  if (job.failed_on.size() >= limits::kSuspectMachines) job.failed_on.clear();
+  const auto places = gang_places(job, machines);
+  if (places.empty()) return false;
+  GangAttempt& gang = job.gang;
+  ++gang.number;
+  gang.broken = false;
+  gang.blamed = false;
+  gang.confirmed = 0;
+  gang.placed_at = now;
+  job.next_fresh = job.spec.tasks;
+  std::vector<TaskRecord> records;
+  TaskIndex index = 0;
+  for (const auto& place : places) {
+    place.machine->kept_for = 0;
+    for (std::size_t i = 0; i < place.tasks; ++i, ++index) {
+      Placement placement;
+      placement.machine = place.machine;
+      placement.attempt = gang.number;
+      placement.placed_at = now;
+      job.tasks[index].attempt = gang.number;
+      put_placement(job, index, placement);
+      records.push_back({index, gang.number, place.machine->id, false});
+    }
+  }
+  auto parts = split_gang(job.spec.id, gang.number, records, part_bytes_);
+  gang.parts = static_cast<std::uint32_t>(parts.size());
+  for (auto& part : parts) {
+    gang.keys.push_back(key::gang_part(part.job, part.attempt, part.part));
+    unwritten_parts_.push_back(std::move(part));
+  }
+  return true;
+}
+
+std::vector<Machine*> Cluster::accepting_machines(Time now) {
+  std::vector<Machine*> out;
+  for (auto& [id, machine] : machines_)
+    if (type_of(machine) && accepts(machine, now)) out.push_back(&machine);
+  return out;
+}
+
+void Cluster::place_gangs_anywhere(Time now) {
+  std::optional<std::vector<Machine*>> machines;
+  for (const auto& ranked : ranking(now)) {
+    Job& job = *ranked.job;
+    if (!job.is_gang() || job.waiting() == 0 || now < job.not_before) continue;
+    if (now - job.waiting_since < limits::kGangOpenShare * report_round_s()) continue;
+    if (!machines) machines = accepting_machines(now);
+    place_gang(job, *machines, now);
+  }
+}
+
+bool Cluster::kept_from(const Job& job, const Machine& machine) {
+  return machine.kept_for != 0 && machine.kept_for != job.serial;
+}
+
+void Cluster::keep_room_for_gang(Time now) {
+  bool any_kept = false;
+  for (auto& [id, machine] : machines_) {
+    if (machine.kept_for == 0) continue;
+    const auto job = by_serial_.find(machine.kept_for);
+    const bool waits = job != by_serial_.end() && job->second->waiting() > 0;
+    if (!waits || now >= machine.kept_until) machine.kept_for = 0;
+    any_kept = any_kept || machine.kept_for != 0;
+  }
+  if (any_kept || now < next_keeping_) return;
+  for (const auto& ranked : ranking(now)) {
+    Job& job = *ranked.job;
+    if (!job.is_gang() || now < job.not_before || now - job.waiting_since < limits::kGangKeepAfter ||
+        limit_room(job) < job.spec.tasks)
+      continue;
+    if (!keep_room(job, now)) continue;
+    // For a bounded time, and then as long not, so that what is kept out meanwhile is served as well.
+    next_keeping_ = now + 2 * limits::kGangKeep;
+    return;
+  }
+}
+
+bool Cluster::keep_room(const Job& job, Time now) {
+  std::map<std::string, std::vector<std::pair<std::size_t, Machine*>>> groups;
+  for (Machine* machine : accepting_machines(now)) {
+    if (!allowed_on(job, machine->type_number, machine->zone, machine->spot)) continue;
+    if (job.failed_on.contains(machine->id)) continue;
+    wire::Resources free = room(*machine);
+    for (const auto& task : machine->placements) {
+      const Placement& placement = task.placement();
+      const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+      const bool ends = task.job->spec.shape != wire::Shape::service &&
+                        std::max(0.0, task.job->expected_s - ran) < limits::kGangKeep;
+      if (ends || placement.stopping) free += task.job->spec.each;
+    }
+    if (const auto fits = tasks_fitting(job.spec.each, free); fits > 0)
+      groups[job.spec.one_zone ? machine->zone : std::string()].emplace_back(fits, machine);
+  }
+  for (auto& [zone, machines] : groups) {
+    std::stable_sort(machines.begin(), machines.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::size_t sum = 0;
+    std::size_t count = 0;
+    while (count < machines.size() && sum < job.spec.tasks) sum += machines[count++].first;
+    if (sum < job.spec.tasks) continue;
+    for (std::size_t i = 0; i < count; ++i) {
+      machines[i].second->kept_for = job.serial;
+      machines[i].second->kept_until = now + limits::kGangKeep;
+    }
+    return true;
+  }
+  return false;
+}
+
+}  // namespace dockdyke::core
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -45,8 +45,12 @@
   double lease_s = 30;
   double cancel_s = 60;
   double list_lag_s = 3;
+  double gang_wait_s = 30;  // a task waits so long for the rest of its gang
+  double gang_peer_s = 5;   // tasks notice within this time that one of their gang is gone
   double cloud_rps = 3;
   double write_rps = 20;
+  // Of the state service: the lower of the limits now and later in force, so that nothing written ever needs
+  // more.
   std::size_t value_bytes = 4096;
   std::size_t txn_ops = 8;
   std::uint32_t min_machines = 0;
@@ -71,6 +75,8 @@
   Time running_since = 0;
   bool stopping = false;
   double grace_s = 0;
+  // No worker can have its start.
+  bool unsent() const { return !sent && !shown && !inherited; }
 };
 
 // Numbers of pages in the order of their keys; 0 is no page.
@@ -88,6 +94,20 @@
   bool durable() const { return recorded >= written; }
 };
 
+// The attempt of a gang: one number for all its tasks, which are placed, started and ended together.
+struct GangAttempt {
+  Attempt number = 0;           // the last one given out
+  std::uint32_t parts = 0;      // of its record
+  std::uint32_t confirmed = 0;  // parts known to be stored
+  bool broken = false;          // a task is gone or is to go: the others are stopped
+  bool blamed = false;          // its failure has been counted
+  Time placed_at = 0;
+  Time tried_at = 0;              // the last search for places among all machines
+  std::vector<std::string> keys;  // of parts that may be stored, of earlier attempts too
+
+  bool durable() const { return parts > 0 && confirmed == parts; }
+};
+
 struct Job {
   wire::JobSpec spec;
   std::uint32_t serial = 0;  // short name for it in pages
@@ -99,6 +119,7 @@
   TaskIndex next_fresh = 0;
   std::map<TaskIndex, Placement> placements;
   std::vector<TaskIndex> unwritten;  // tasks whose present state is in no page
+  GangAttempt gang;                  // of gangs only
 
   Revision version;        // of the stored record
   bool finishing = false;  // its final record is being written
@@ -117,7 +138,17 @@
   std::uint32_t failures = 0;
   Time not_before = 0;
 
+  bool is_gang() const { return spec.shape == wire::Shape::gang; }
   bool complete() const { return done_count == spec.tasks; }
+  // The task's place is stored, so its start may go out.
+  bool place_on_record(TaskIndex index) const {
+    return is_gang() ? gang.durable() && !gang.broken && !complete() : tasks[index].durable();
+  }
+  // The task's completion is stored, so its worker may forget it. The last one of a job is stored with the
+  // job's end, and all of a gang's are.
+  bool result_on_record(TaskIndex index) const {
+    return complete() || is_gang() ? !finishing : tasks[index].durable();
+  }
   double mean_run_s() const { return ran > 0 ? ran_s / ran : 0; }
   TaskIndex waiting() const { return static_cast<TaskIndex>(returned.size()) + (spec.tasks - next_fresh); }
   bool suits_type(std::size_t number) const { return number < suits.size() && suits[number]; }
@@ -172,6 +203,9 @@
   // Its tasks in a row that took far longer than others of their jobs.
   std::uint32_t slow_signs = 0;
   Time no_room_until = 0;
+  // Its room is kept for this waiting gang (a job's serial) until then.
+  std::uint32_t kept_for = 0;
+  Time kept_until = 0;
   Time idle_since = 0;
   std::vector<std::pair<std::string, double>> images;  // most recent last
 
@@ -182,6 +216,12 @@
   }
 };
 
+// So many tasks of a gang on this machine.
+struct GangPlace {
+  Machine* machine = nullptr;
+  std::size_t tasks = 0;
+};
+
 struct PendingRent {
   wire::Rental rental;
   Time since = 0;
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -29,14 +29,14 @@
 
 void Cluster::touch(Job& job, TaskIndex index) {
   TaskSlot& slot = job.tasks[index];
-  if (job.cancelled || slot.written == TaskSlot::kUnwritten) return;
+  if (job.is_gang() || job.cancelled || slot.written == TaskSlot::kUnwritten) return;
   slot.written = TaskSlot::kUnwritten;
   if (job.unwritten.empty()) unwritten_jobs_.push_back(job.serial);
   job.unwritten.push_back(index);
 }
 
 std::optional<double> Cluster::save_due_in(Time now) const {
-  if (!unfinished_finals_.empty()) return 0;
+  if (!unfinished_finals_.empty() || !unwritten_parts_.empty()) return 0;
   if (unwritten_jobs_.empty() || pages_in_flight_ >= limits::kPagesInFlight) return std::nullopt;
   // A page costs its own write and later that of its removal; the rest of the leader's writes are others'.
   const double spacing = limits::kWritesPerPage / (config_.write_rps * limits::kLeaderShare);
@@ -46,6 +46,7 @@
 
 std::optional<Save> Cluster::next_save(Time now) {
   if (auto finals = next_finals()) return finals;
+  if (auto part = next_gang_part()) return part;
   const auto due = save_due_in(now);
   if (!due || *due > 0) return std::nullopt;
   return next_page(now);
@@ -54,9 +55,7 @@
 std::optional<Save> Cluster::next_finals() {
   Save save;
   InFlight in_flight;
-  // Each end of a job is a put and a removal.
-  const std::size_t most = std::max<std::size_t>(1, config_.txn_ops / 2);
-  while (!unfinished_finals_.empty() && in_flight.finals.size() < most) {
+  while (!unfinished_finals_.empty() && in_flight.finals.size() < ends_per_save_) {
     const JobId id = std::move(unfinished_finals_.front());
     unfinished_finals_.pop_front();
     auto found = jobs_.find(id);
@@ -72,6 +71,7 @@
   }
   if (in_flight.finals.empty()) return std::nullopt;
   save.number = next_save_number_++;
+  save.urgent = true;
   save.finals = in_flight.finals;
   saves_.emplace(save.number, std::move(in_flight));
   return save;
@@ -80,7 +80,7 @@
 std::size_t Cluster::add_to_page(PageRecord& record, Page& page, std::size_t& bytes, const Job& job,
                                  const std::vector<TaskIndex>& tasks) const {
   constexpr std::size_t kAroundJob = 40;  // quotes and the names of the three kinds of entry
-  const std::size_t room = config_.value_bytes - std::min(config_.value_bytes, limits::kPageMargin);
+  const std::size_t room = page_bytes_;
   const std::size_t before_job = bytes;
   if (bytes + job.spec.id.value.size() + kAroundJob > room) return 0;
   bytes += job.spec.id.value.size() + kAroundJob;
@@ -167,14 +167,14 @@
   save.transaction.guards.push_back({page.key, Revision(0)});
   save.transaction.puts.push_back({page.key, to_json(record), {}});
   pages_.emplace(number, std::move(page));
-  saves_.emplace(save.number, InFlight{number, {}});
+  saves_.emplace(save.number, InFlight{number, {}, {}});
   return save;
 }
 
 void Cluster::entry_dead(PageNumber number) {
   auto page = pages_.find(number);
   if (page == pages_.end() || --page->second.live > 0) return;
-  dead_pages_.push_back(page->second.key);
+  dead_keys_.push_back(page->second.key);
   pages_.erase(page);
 }
 
@@ -213,6 +213,7 @@
   saves_.erase(save);
   // A page in conflict exists: an earlier try wrote it whose answer got lost. Nobody else uses its key.
   if (in_flight.page != 0) page_confirmed(in_flight.page);
+  if (in_flight.gang) gang_part_confirmed(*in_flight.gang);
   return in_flight.finals;
 }
 
@@ -227,6 +228,42 @@
   for (const auto& id : save_ended(command.number)) end_on_record(id, now);
 }
 
+void Cluster::page_rejected(PageNumber number) {
+  --pages_in_flight_;
+  auto found = pages_.find(number);
+  if (found == pages_.end()) return;
+  // What was new in it is written again, in smaller pages.
+  for (const auto& entry : found->second.entries) {
+    auto job = by_serial_.find(entry.job);
+    if (job == by_serial_.end() || job->second->tasks[entry.index].written != number) continue;
+    touch(*job->second, entry.index);
+  }
+  pages_.erase(found);
+  page_wanted_ = true;
+}
+
+void Cluster::on(const SaveRejected& command, Time) {
+  // A limit that the settings did not tell of. The same transaction would be refused for ever.
+  auto save = saves_.find(command.number);
+  if (save == saves_.end()) return;
+  const InFlight in_flight = std::move(save->second);
+  saves_.erase(save);
+  if (in_flight.page != 0) {
+    page_bytes_ = std::max(limits::kLeastPage, page_bytes_ / 2);
+    page_rejected(in_flight.page);
+  } else if (in_flight.gang) {
+    part_bytes_ = std::max(limits::kLeastPage, part_bytes_ / 2);
+    gang_part_rejected(*in_flight.gang);
+  } else {
+    ends_per_save_ = std::max<std::size_t>(1, ends_per_save_ / 2);
+    for (const auto& id : in_flight.finals) unfinished_finals_.push_back(id);
+  }
+}
+
+void Cluster::on(const WriteRateLowered& command, Time) {
+  config_.write_rps = std::min(config_.write_rps, command.per_second);
+}
+
 void Cluster::on(const SaveConflict& command, Time now) {
   for (const auto& id : save_ended(command.number)) {
     const bool off_record =
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -274,7 +274,7 @@
   if (!machine.spot && job.spec.spot_allowed) cost += limits::kOrdinaryWeight;
   if (!machine.failed_jobs.empty()) cost += limits::kFailedWeight;
   if (!machine.has_image(job.spec.image)) {
-    const double fetch = job.spec.image_gb / std::max(0.01, type_of(machine)->fetch_gb_per_s);
+    const double fetch = job.spec.image_gb / std::max(limits::kLeastFetch, type_of(machine)->fetch_gb_per_s);
     cost += fetches_image(machine, job) ? fetch * limits::kSharedFetch : fetch;
   }
   return cost;
@@ -338,7 +338,7 @@
   std::vector<std::pair<double, Machine*>> offers;
   for (Machine* machine : open) {
     ++looks_;
-    if (avoided.contains(machine->type_number)) continue;
+    if (avoided.contains(machine->type_number) || kept_from(job, *machine)) continue;
     if (picky && tier(*machine) > open_tier_) continue;
     if (!any_image && !machine->has_image(job.spec.image) && !fetches_image(*machine, job)) continue;
     if (const auto cost = cost_of(job, *machine, largest)) offers.emplace_back(*cost, machine);
@@ -365,7 +365,9 @@
 }
 
 void Cluster::place(Time now) {
-  if (!place_wanted_ || !loaded_) return;
+  if (!loaded_) return;
+  settle_gangs(now);
+  if (!place_wanted_) return;
   place_wanted_ = false;
   if (open_answers_.empty()) return;  // the next report asks for places again
   // Orders travel only in answers to reports. A task is bound to a machine when that machine waits for an
@@ -402,6 +404,10 @@
       for (std::size_t i = 0; i < types_.size() && !fits; ++i)
         fits = job.suits_type(i) && job.spec.each.fits_into(most_free[i]);
       if (!fits) continue;
+      if (job.is_gang()) {
+        if (!any_image) place_gang(job, open, now);
+        continue;
+      }
       const bool takes_any = any_image || ranked.hasty || now - job.waiting_since >= limits::kImagePatience;
       const std::size_t given = place_job(ranked, open, takes_any, limits::kPlacePerBatch - placed, now);
       placed += given;
@@ -416,7 +422,8 @@
 }
 
 bool Cluster::may_stop(const Ranked& claimant, const Job& victim) const {
-  if (victim.cancelled || &victim == claimant.job) return false;
+  // A gang loses all that all its tasks did since their last checkpoint.
+  if (victim.cancelled || victim.is_gang() || &victim == claimant.job) return false;
   if (claimant.guaranteed && victim.spec.team != claimant.job->spec.team)
     return !guaranteed_.contains(victim.spec.id);
   return victim.spec.priority < claimant.job->spec.priority && !guaranteed_.contains(victim.spec.id);
@@ -433,7 +440,8 @@
     // Nothing may be stopped for it. A pass over all machines for each waiting job of the lowest priority
     // took a third of the leader's processor time at 2,049 machines.
     if (!least || (job.spec.priority <= *least && !ranked.guaranteed)) continue;
-    if (job.waiting() == 0 || now < job.not_before || now - job.waiting_since < limits::kPreemptWait ||
+    if (job.is_gang() || job.waiting() == 0 || now < job.not_before ||
+        now - job.waiting_since < limits::kPreemptWait ||
         limit_room(job) == 0)
       continue;
     if (!open) {
--- a/src/core/records.cpp
+++ b/src/core/records.cpp
@@ -29,6 +29,9 @@
                 static_cast<unsigned long long>(number));
   return kPagePrefix + text;
 }
+std::string gang_part(const JobId& id, Attempt attempt, std::uint32_t part) {
+  return kGangPrefix + id.value + "/" + std::to_string(attempt) + "/" + std::to_string(part);
+}
 }  // namespace key
 
 namespace {
@@ -89,12 +92,26 @@
   }
 }
 
+using TasksByMachine = std::map<std::string, std::vector<const TaskRecord*>>;
+
+Json runs_by_machine(const TasksByMachine& placed, Attempt usual) {
+  Json machines = Json::object();
+  for (const auto& [machine, tasks] : placed) machines[machine] = runs_of(tasks, usual);
+  return machines;
+}
+
+void parse_placed(const Json& placed, Attempt usual, std::vector<TaskRecord>& out) {
+  if (!placed.is_object()) throw Malformed("invalid places of tasks");
+  for (const auto& [machine, runs] : placed.items())
+    parse_runs(runs, {0, usual, MachineId(machine), false}, out);
+}
+
 }  // namespace
 
 Json to_json(const std::vector<TaskRecord>& tasks) {
   std::vector<const TaskRecord*> done;
   std::vector<const TaskRecord*> free;
-  std::map<std::string, std::vector<const TaskRecord*>> placed;
+  TasksByMachine placed;
   for (const auto& task : tasks) {
     if (task.done) {
       done.push_back(&task);
@@ -117,10 +134,7 @@
     out[kDone] = std::move(text);
   }
   if (!free.empty()) out[kFree] = runs_of(free, 1);
-  if (!placed.empty()) {
-    Json& machines = out[kPlaced] = Json::object();
-    for (const auto& [machine, each] : placed) machines[machine] = runs_of(each, 1);
-  }
+  if (!placed.empty()) out[kPlaced] = runs_by_machine(placed, 1);
   return out;
 }
 
@@ -137,15 +151,63 @@
     auto& tasks = out[JobId(id)];
     if (const Json* done = wire::find(entry, kDone)) parse_runs(*done, {0, 1, {}, true}, tasks);
     if (const Json* free = wire::find(entry, kFree)) parse_runs(*free, {0, 1, {}, false}, tasks);
-    if (const Json* placed = wire::find(entry, kPlaced)) {
-      if (!placed->is_object()) throw Malformed("invalid page");
-      for (const auto& [machine, runs] : placed->items())
-        parse_runs(runs, {0, 1, MachineId(machine), false}, tasks);
-    }
+    if (const Json* placed = wire::find(entry, kPlaced)) parse_placed(*placed, 1, tasks);
   }
   return out;
 }
 
+namespace {
+
+constexpr const char* kGangParts = "parts";
+
+}  // namespace
+
+Json to_json(const GangPart& part) {
+  TasksByMachine placed;
+  for (const auto& task : part.tasks) placed[task.machine.value].push_back(&task);
+  return Json{{kGangParts, part.parts}, {kPlaced, runs_by_machine(placed, part.attempt)}};
+}
+
+GangPart parse_gang_part(std::string_view key, const Json& value) {
+  if (!key.starts_with(key::kGangPrefix)) throw Malformed("invalid key of a gang's record");
+  key.remove_prefix(key::kGangPrefix.size());
+  const auto slash = key.find('/');
+  if (slash == std::string_view::npos) throw Malformed("invalid key of a gang's record");
+  GangPart part;
+  part.job = JobId(std::string(key.substr(0, slash)));
+  key.remove_prefix(slash + 1);
+  part.attempt = take_number<Attempt>(key);
+  if (!take_char(key, '/')) throw Malformed("invalid key of a gang's record");
+  part.part = take_number<std::uint32_t>(key);
+  part.parts = static_cast<std::uint32_t>(wire::require_count(value, kGangParts));
+  const Json* placed = wire::find(value, kPlaced);
+  if (!placed || !key.empty() || part.part >= part.parts) throw Malformed("invalid record of a gang");
+  parse_placed(*placed, part.attempt, part.tasks);
+  return part;
+}
+
+std::vector<GangPart> split_gang(const JobId& id, Attempt attempt, const std::vector<TaskRecord>& tasks,
+                                 std::size_t value_bytes) {
+  constexpr std::size_t kAroundPart = 40;  // names of the fields, and the number of parts
+  constexpr std::size_t kAroundRun = 20;   // quotes, separators and two task numbers
+  std::vector<GangPart> parts;
+  std::size_t bytes = value_bytes;
+  for (const auto& task : tasks) {
+    const std::size_t size = task.machine.value.size() + kAroundRun;
+    const bool same_run = !parts.empty() && !parts.back().tasks.empty() &&
+                          parts.back().tasks.back().machine == task.machine &&
+                          parts.back().tasks.back().index + 1 == task.index;
+    if (!same_run && bytes + size > value_bytes) {
+      parts.push_back({id, attempt, static_cast<std::uint32_t>(parts.size()), 0, {}});
+      bytes = kAroundPart;
+    }
+    if (!same_run) bytes += size;
+    parts.back().tasks.push_back(task);
+  }
+  for (auto& part : parts) part.parts = static_cast<std::uint32_t>(parts.size());
+  return parts;
+}
+
 Json to_json(const JobRecord& record) {
   Json out{{"spec", wire::to_json(record.spec)}, {"at", record.submitted_ms}};
   if (record.cancelled_ms) out["cancelled"] = *record.cancelled_ms;
@@ -173,10 +235,34 @@
   return {*stage, wire::require_count(value, "done")};
 }
 
+namespace {
+
+std::size_t bytes_of(const JobRecord& record) {
+  return to_json(record).dump(-1, ' ', false, Json::error_handler_t::replace).size();
+}
+
+// A job that is cancelled is never placed again: only what its remaining tasks take of team and zones counts.
+void drop_what_places_it(JobRecord& record) {
+  constexpr const char* kNone = "-";
+  record.spec.machine_types.reset();
+  record.spec.zone.reset();
+  record.spec.deadline_s.reset();
+  record.spec.job_class = kNone;
+  record.spec.image = kNone;
+}
+
+}  // namespace
+
+bool fits_value(JobRecord record, std::size_t value_bytes) {
+  if (!record.cancelled_ms) record.cancelled_ms = record.submitted_ms;
+  return bytes_of(record) <= value_bytes;
+}
+
 wire::Transaction cancellation(JobRecord record, Revision version, std::uint64_t done,
-                               std::int64_t time_of_day_ms) {
+                               std::int64_t time_of_day_ms, std::size_t value_bytes) {
   const auto& id = record.spec.id;
   record.cancelled_ms = time_of_day_ms;
+  if (!fits_value(record, value_bytes)) drop_what_places_it(record);
   wire::Transaction txn;
   txn.guards.push_back({key::open(id), version});
   txn.puts.push_back({key::over(id), to_json(FinalRecord{wire::Stage::cancelled, done}), {}});
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "wire/messages.hpp"
@@ -19,6 +20,7 @@
 inline const std::string kPagePrefix = "page/";
 inline const std::string kRentPrefix = "rent/";
 inline const std::string kReturnPrefix = "return/";
+inline const std::string kGangPrefix = "gang/";
 inline const std::string kMachineTypes = "types";
 std::string open(const JobId& id);
 std::string over(const JobId& id);
@@ -27,6 +29,8 @@
 // Pages are read in the order of their keys, which is the order in which they were written: tokens of later
 // leaders are higher.
 std::string page(Token token, std::uint64_t number);
+// One part of the record of a gang's attempt.
+std::string gang_part(const JobId& id, Attempt attempt, std::uint32_t part);
 }  // namespace key
 
 // The record of an unfinished job, written once, when it is submitted.
@@ -56,6 +60,17 @@
 // writes follows time and not tasks. The newest page that names a task tells its state.
 using PageRecord = std::map<JobId, std::vector<TaskRecord>>;
 
+// One part of the record of a gang's attempt: the machines of some of its tasks. An attempt may be started only
+// when all its parts are stored, so a leader that finds fewer knows that nothing runs under that number.
+// The records have a prefix of their own, which earlier versions neither read nor remove.
+struct GangPart {
+  JobId job;
+  Attempt attempt = 0;
+  std::uint32_t part = 0;   // from 0
+  std::uint32_t parts = 1;  // of the whole attempt
+  std::vector<TaskRecord> tasks;
+};
+
 wire::Json to_json(const JobRecord& record);
 JobRecord parse_job_record(const wire::Json& value);
 wire::Json to_json(const FinalRecord& record);
@@ -64,10 +79,18 @@
 wire::Json to_json(const std::vector<TaskRecord>& tasks);
 wire::Json to_json(const PageRecord& page);
 PageRecord parse_page(const wire::Json& value);
+wire::Json to_json(const GangPart& part);
+GangPart parse_gang_part(std::string_view key, const wire::Json& value);
+// Splits an attempt's tasks so that no part's value is larger than `value_bytes`.
+std::vector<GangPart> split_gang(const JobId& id, Attempt attempt, const std::vector<TaskRecord>& tasks,
+                                 std::size_t value_bytes);
 
 // Builds the transaction that cancels a job: the open record becomes the final one, and a copy stays until
-// its tasks, which pages may name, are proved gone.
+// its tasks, which pages may name, are proved gone. The copy never needs a larger value than `value_bytes`, also
+// where the record was written under a higher limit.
 wire::Transaction cancellation(JobRecord record, Revision version, std::uint64_t done,
-                               std::int64_t time_of_day_ms);
+                               std::int64_t time_of_day_ms, std::size_t value_bytes);
+// Whether the record, and its copy after a cancellation, fit into a value.
+bool fits_value(JobRecord record, std::size_t value_bytes);
 
 }  // namespace dockdyke::core
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -135,6 +135,10 @@
   co_await ask(transport, sibling, kCancelledPath, encode(jobs), limits::kPeerTimeout);
 }
 
+net::Task<void> tell_write_limit(net::Transport& transport, net::Address sibling) {
+  co_await ask(transport, sibling, kWriteLimitPath, "?", limits::kPeerTimeout);
+}
+
 net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling) {
   std::optional<std::string> body =
       co_await ask(transport, sibling, kStandingPath, "?", limits::kPeerTimeout);
--- a/src/peer/peer.hpp
+++ b/src/peer/peer.hpp
@@ -46,6 +46,8 @@
 inline constexpr const char* kPollPath = "/peer/poll";
 inline constexpr const char* kStandingPath = "/peer/standing";
 inline constexpr const char* kCancelledPath = "/peer/cancelled";
+// Unknown to earlier versions, which answer 404.
+inline constexpr const char* kWriteLimitPath = "/peer/write-limit";
 
 // Nothing where the bytes are no such message. Jobs by name stand in questions and in news of cancellations.
 std::optional<Forwarded> decode_forwarded(const std::string& bytes);
@@ -70,6 +72,9 @@
                                                       std::vector<JobId> jobs);
 // Tells of a cancellation that is on record. Nothing rests on its arrival.
 net::Task<void> tell_cancelled(net::Transport& transport, net::Address sibling, JobId job);
+// Tells that the state service has put its announced lower limit of writes in force. Nothing rests on its
+// arrival.
+net::Task<void> tell_write_limit(net::Transport& transport, net::Address sibling);
 net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling);
 
 }  // namespace dockdyke::peer
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -53,9 +53,28 @@
 
 void StateClient::set_shares(double requests, double writes) {
   requests_.set_rate(limits_.requests_per_second * requests);
+  write_share_ = writes;
   writes_.set_rate(limits_.writes_per_second * writes);
 }
 
+void StateClient::lower_write_limit() {
+  const double later = limits_.writes_per_second_later;
+  if (write_limit_lowered_ || later <= 0 || later >= limits_.writes_per_second) return;
+  write_limit_lowered_ = true;
+  limits_.writes_per_second = later;
+  writes_.set_rate(later * write_share_);
+}
+
+void StateClient::note_write_refusal() {
+  if (write_limit_lowered_) return;
+  write_refusals_.push_back(loop_.now());
+  while (loop_.now() - write_refusals_.front() > net::seconds(limits::kRateRefusalWindow))
+    write_refusals_.pop_front();
+  if (write_refusals_.size() < limits::kRateRefusals) return;
+  lower_write_limit();
+  if (write_limit_lowered_ && on_write_limit_seen_) on_write_limit_seen_();
+}
+
 bool StateClient::backed_up() const {
   return requests_.waiting() + writes_.waiting() >= limits::kBudgetQueue;
 }
@@ -84,7 +103,8 @@
   }
   reply.outcome = outcome_of(result.response->status);
   constexpr int kOverLimit = 429;  // a sign of life, if no help
-  note(result.response->status == kOverLimit ||
+  reply.over_limit = result.response->status == kOverLimit;
+  note(reply.over_limit ||
        (reply.outcome != Outcome::refused && reply.outcome != Outcome::unknown));
   if (!result.response->body.empty()) {
     auto body_value = wire::decode(result.response->body);
@@ -133,6 +153,7 @@
   const std::string body = wire::encode(wire::to_json(transaction));
   Reply reply =
       co_await call("POST", std::string(wire::path::kTransaction), body, net::seconds(limits::kStateTimeout));
+  if (reply.over_limit && changes > 0) note_write_refusal();
   if (reply.outcome == Outcome::conflict) {
     Result<Committed> result{Outcome::conflict, {}};
     try {
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -2,8 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http_client.hpp"
@@ -39,6 +42,8 @@
 struct Limits {
   double requests_per_second = 100;
   double writes_per_second = 20;
+  // The limit that the service has announced and may put in force at any moment; 0: none.
+  double writes_per_second_later = 0;
 };
 
 class StateClient {
@@ -48,6 +53,15 @@
   // The shares of the limits this controller may use in its present role.
   void set_shares(double requests, double writes);
 
+  // Keeps to the announced lower limit of writes from now on. Called by the client itself when the service shows
+  // that it is in force, and for what another controller has seen. It is never raised again: a try would have
+  // the writes of all controllers refused.
+  void lower_write_limit();
+  bool write_limit_lowered() const { return write_limit_lowered_; }
+  double write_limit() const { return limits_.writes_per_second; }
+  // Called once, when the service has shown the lower limit to this client.
+  void on_write_limit_seen(std::function<void()> listener) { on_write_limit_seen_ = std::move(listener); }
+
   net::Task<Result<wire::KeyValue>> get(std::string key, net::TimePoint deadline);
   // Reads every key with the prefix, page after page. The revision is that of the first page.
   net::Task<Result<wire::KeyPage>> list(std::string prefix);
@@ -71,8 +85,10 @@
  private:
   struct Reply {
     Outcome outcome = Outcome::unknown;
+    bool over_limit = false;  // refused for the rate
     wire::Json body;
   };
+  void note_write_refusal();
   net::Task<Reply> call(std::string method, std::string target, std::string body, net::Duration timeout);
   void note(bool answered);
   net::TimePoint in(double seconds) const { return loop_.now() + net::seconds(seconds); }
@@ -84,6 +100,10 @@
   RateBudget requests_;
   RateBudget writes_;
   std::optional<net::TimePoint> failing_since_;
+  double write_share_ = 1;
+  bool write_limit_lowered_ = false;
+  std::deque<net::TimePoint> write_refusals_;  // for the rate, lately
+  std::function<void()> on_write_limit_seen_;
 };
 
 }  // namespace dockdyke::store
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -14,7 +14,8 @@
 template <class Enum, std::size_t N>
 using Spelling = std::array<std::pair<std::string_view, Enum>, N>;
 
-constexpr Spelling<Shape, 2> kShapes{{{"batch", Shape::batch}, {"standing", Shape::standing}}};
+constexpr Spelling<Shape, 3> kShapes{
+    {{"batch", Shape::array}, {"group", Shape::gang}, {"standing", Shape::service}}};
 constexpr Spelling<Priority, 4> kPriorities{{{"critical", Priority::critical},
                                              {"high", Priority::high},
                                              {"normal", Priority::normal},
@@ -23,16 +24,19 @@
                                       {"running", Stage::running},
                                       {"done", Stage::done},
                                       {"cancelled", Stage::cancelled}}};
-constexpr Spelling<TaskState, 4> kTaskStates{{{"pulling", TaskState::fetching},
+constexpr Spelling<TaskState, 5> kTaskStates{{{"pulling", TaskState::fetching},
+                                              {"waiting", TaskState::waiting},
                                               {"running", TaskState::running},
                                               {"saving", TaskState::saving},
                                               {"exited", TaskState::exited}}};
-constexpr Spelling<ExitCause, 6> kCauses{{{"done", ExitCause::done},
+constexpr Spelling<ExitCause, 8> kCauses{{{"done", ExitCause::done},
                                           {"halted", ExitCause::stopped},
                                           {"error", ExitCause::error},
                                           {"no_room", ExitCause::no_room},
                                           {"busy", ExitCause::busy},
-                                          {"no_such", ExitCause::unknown_job}}};
+                                          {"no_such", ExitCause::unknown_job},
+                                          {"mates_gone", ExitCause::peer_lost},
+                                          {"alone", ExitCause::gang_incomplete}}};
 constexpr Spelling<Verb, 3> kVerbs{{{"run", Verb::start}, {"kill", Verb::stop}, {"forget", Verb::forget}}};
 constexpr Spelling<MachineStage, 3> kMachineStages{{{"booting", MachineStage::booting},
                                                     {"running", MachineStage::running},
@@ -225,6 +229,20 @@
   return task.job.value + "/" + std::to_string(task.index);
 }
 
+namespace {
+
+// A word that a later version of the workers uses must not make the whole report worthless: the worker's lease
+// would run out on it. Such a task counts as there, in a state that proves nothing.
+void read_state(const Json& reported, ReportedTask& task) {
+  task.state = meaning(kTaskStates, require_text(reported, "stage")).value_or(TaskState::unknown);
+  if (task.state != TaskState::exited) return;
+  const auto cause = meaning(kCauses, require_text(reported, "cause"));
+  task.cause = cause.value_or(ExitCause::none);
+  if (!cause) task.state = TaskState::unknown;
+}
+
+}  // namespace
+
 Report parse_report(const Json& body) {
   Report report;
   report.machine = MachineId(checked_name(require_text(body, "dyke"), "dyke"));
@@ -242,8 +260,7 @@
     if (!ref) throw Malformed("invalid piece");
     task.task = *std::move(ref);
     task.attempt = require_count(each, "try");
-    task.state = require_enum(each, "stage", kTaskStates);
-    if (task.state == TaskState::exited) task.cause = require_enum(each, "cause", kCauses);
+    read_state(each, task);
     task.saved = flag_or(each, "stored", false);
     report.tasks.push_back(std::move(task));
   }
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -15,7 +15,9 @@
 
 // ---- Jobs -------------------------------------------------------------------------------------------------
 
-enum class Shape { batch, standing };
+// How the tasks of a job relate: independent tasks, tasks that must all run at the same time, or replicas that
+// run until the job is cancelled.
+enum class Shape { array, gang, service };
 enum class Priority { low, normal, high, critical };
 enum class Stage { pending, running, done, cancelled };
 
@@ -37,7 +39,7 @@
   JobId id;
   std::string job_class;
   std::string team;
-  Shape shape = Shape::batch;
+  Shape shape = Shape::array;
   Priority priority = Priority::normal;
   TaskIndex tasks = 1;
   Resources each;
@@ -81,8 +83,11 @@
 std::optional<TaskRef> parse_task(std::string_view text);
 std::string spelled(const TaskRef& task);
 
-enum class TaskState { fetching, running, saving, exited };
-enum class ExitCause { none, done, stopped, error, no_room, busy, unknown_job };
+// `waiting`: a gang task that has its image and waits for the rest of its gang. `unknown`: a word, or a cause
+// of exit, that this version does not know; the task may be on the machine in any form.
+enum class TaskState { fetching, waiting, running, saving, exited, unknown };
+// `peer_lost`: another task of the gang is gone. `gang_incomplete`: the gang was not complete in time.
+enum class ExitCause { none, done, stopped, error, no_room, busy, unknown_job, peer_lost, gang_incomplete };
 
 struct ReportedTask {
   TaskRef task;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -204,7 +204,7 @@
 }
 
 TEST(Records, CancellationLeavesACopyUntilTheTasksAreProvedGone) {
-  const auto txn = cancellation(job_record(job_spec("job-1", 1)), Revision(5), 0, 1234);
+  const auto txn = cancellation(job_record(job_spec("job-1", 1)), Revision(5), 0, 1234, 4096);
   ASSERT_EQ(txn.puts.size(), 2u);
   EXPECT_EQ(txn.puts[1].key, key::linger(JobId("job-1")));
   EXPECT_EQ(txn.guards[0].version, Revision(5));
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -607,6 +607,9 @@
         return "running";
       case wire::TaskState::saving:
         return "saving";
+      case wire::TaskState::waiting:
+        return "waiting";
+      case wire::TaskState::unknown:
       case wire::TaskState::exited:
         break;
     }
