--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -59,8 +59,8 @@
 // (a cancellation needs three at once).
 inline constexpr double kLeastValueKb = 1;
 inline constexpr double kLeastTxnOps = 3;
-// Writes refused for the rate, within so many seconds, that show the announced lower limit to be in force. One
-// or two also come from the moments in which two controllers think they lead.
+// Writes refused for the rate, within so many seconds, that show the announced lower limit to be in force.
+// One or two also come from the moments in which two controllers think they lead.
 inline constexpr std::size_t kRateRefusals = 4;
 inline constexpr double kRateRefusalWindow = 5.0;
 // Seconds one call may take; usual answers take some ms, rare ones a few hundred.
@@ -355,10 +355,13 @@
 inline constexpr double kGangAssembleReports = 4.0;
 // Share of a report round for which a gang waits until enough machines can be answered at the same moment.
 inline constexpr double kGangOpenShare = 0.5;
-// Seconds a gang waits before room is kept for it, and for how long that is at the most.
+// Seconds a gang waits before room is kept for it, for how long that is at the most (most tasks end within
+// it, and no other job waits 90 s for room), and for how long no room is kept after that.
 inline constexpr double kGangKeepAfter = 6.0;
-inline constexpr double kGangKeep = 30.0;
-// Seconds of a task's time that each sign of a slow machine counts as: all tasks go at the slowest one's pace.
+inline constexpr double kGangKeep = 50.0;
+inline constexpr double kGangKeepRest = 30.0;
+// Seconds of a task's time that each sign of a slow machine counts as: all tasks go at the slowest one's
+// pace.
 inline constexpr double kSlowSignWeight = 20.0;
 // GB a second that any machine is taken to fetch at the least, to divide by.
 inline constexpr double kLeastFetch = 0.01;
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -79,10 +79,11 @@
   Job& job = *found->second;
   if (++job.gang.confirmed < job.gang.parts) return;
   // The records of earlier attempts are needed no more: all their tasks were gone before this one was made.
-  const std::string present = key::kGangPrefix + job.spec.id.value + "/" + std::to_string(stored.attempt) + "/";
+  const std::string present =
+      key::kGangPrefix + job.spec.id.value + "/" + std::to_string(stored.attempt) + "/";
   auto& keys = job.gang.keys;
-  const auto earlier =
-      std::stable_partition(keys.begin(), keys.end(), [&](const auto& key) { return key.starts_with(present); });
+  const auto earlier = std::stable_partition(keys.begin(), keys.end(),
+                                             [&](const auto& key) { return key.starts_with(present); });
   if (earlier == keys.end()) return;
   discard(std::vector<std::string>(earlier, keys.end()));
   keys.erase(earlier, keys.end());
@@ -157,10 +158,11 @@
 }
 
 void Cluster::watch_gangs(Time now) {
-  const double most_s =
-      std::min(limits::kGangAssembleShare * config_.gang_wait_s, limits::kGangAssembleReports * config_.report_s);
+  const double most_s = std::min(limits::kGangAssembleShare * config_.gang_wait_s,
+                                 limits::kGangAssembleReports * config_.report_s);
   for (auto& [id, job] : jobs_) {
-    if (!job.is_gang() || job.placements.empty() || job.gang.broken || job.complete() || job.cancelled) continue;
+    if (!job.is_gang() || job.placements.empty() || job.gang.broken || job.complete() || job.cancelled)
+      continue;
     if (now - job.gang.placed_at < most_s) continue;
     // Tasks that have begun to wait give up after `gang_wait_s`. A machine that has not shown its task by now
     // may not do so in time.
@@ -183,8 +185,8 @@
   std::size_t fits = 0;
 };
 
-// How good a set of places is: the gang starts when the slowest fetch is over, and the fewer machines it needs
-// to hear from the sooner.
+// How good a set of places is: the gang starts when the slowest fetch is over, and the fewer machines it
+// needs to hear from the sooner.
 using Quality = std::tuple<double, std::size_t, double>;
 
 struct Choice {
@@ -193,7 +195,8 @@
 };
 
 // Takes candidates in order until all tasks have a place; nothing when they don't.
-std::optional<Choice> choose(std::vector<Candidate> candidates, std::size_t tasks, std::size_t most_per_zone) {
+std::optional<Choice> choose(std::vector<Candidate> candidates, std::size_t tasks,
+                             std::size_t most_per_zone) {
   std::sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
     const auto rank = [&](const Candidate& each) {
       return std::tuple(each.fetch_s, -static_cast<double>(std::min(each.fits, tasks)), each.cost);
@@ -237,7 +240,8 @@
     if (!cost) continue;
     Candidate candidate{machine, 0, *cost, tasks_fitting(job.spec.each, room(*machine))};
     if (!machine->has_image(job.spec.image))
-      candidate.fetch_s = job.spec.image_gb / std::max(limits::kLeastFetch, type_of(*machine)->fetch_gb_per_s);
+      candidate.fetch_s =
+          job.spec.image_gb / std::max(limits::kLeastFetch, type_of(*machine)->fetch_gb_per_s);
     // All go at the pace of the slowest.
     candidate.fetch_s += limits::kSlowSignWeight * machine->slow_signs;
     groups[job.spec.one_zone ? machine->zone : std::string()].push_back(candidate);
@@ -322,8 +326,8 @@
         limit_room(job) < job.spec.tasks)
       continue;
     if (!keep_room(job, now)) continue;
-    // For a bounded time, and then as long not, so that what is kept out meanwhile is served as well.
-    next_keeping_ = now + 2 * limits::kGangKeep;
+    // For a bounded time, and then not for a while, so that what is kept out meanwhile is served as well.
+    next_keeping_ = now + limits::kGangKeep + limits::kGangKeepRest;
     return;
   }
 }
--- a/tests/cluster_fixture.hpp
+++ b/tests/cluster_fixture.hpp
@@ -48,6 +48,8 @@
   config.report_s = 2;
   config.lease_s = 10;
   config.cancel_s = 40;
+  config.gang_wait_s = 20;
+  config.gang_peer_s = 3;
   config.min_machines = 0;
   config.max_machines = 20;
   return config;
--- a/tests/random_test.cpp
+++ b/tests/random_test.cpp
@@ -21,6 +21,10 @@
   void submit_something() {
     auto spec = job_spec("job-" + std::to_string(next_job_++), 1 + static_cast<TaskIndex>(world_.pick(5)));
     spec.estimate_s = world_.random(3, 40);
+    if (world_.pick(3) == 0) {
+      spec.shape = wire::Shape::gang;
+      spec.each = {2, 0, 2};
+    }
     spec.team = world_.pick(3) == 0 ? "other" : "team";
     spec.priority = world_.pick(2) == 0 ? wire::Priority::normal : wire::Priority::high;
     spec.spot_allowed = world_.pick(4) != 0;
@@ -28,6 +32,8 @@
     spec.one_zone = bound == 0;
     spec.spread = bound == 1;
     if (bound == 2) spec.zone = "b";
+    spec.checkpoint_s = world_.pick(2) == 0 ? 0 : 5;
+    spec.save_s = spec.checkpoint_s > 0 ? 1 : 0;
     const bool cancel = world_.pick(3) == 0;
     world_.submit(std::move(spec), cancel ? std::optional<double>(world_.random(0.5, 40)) : std::nullopt);
   }
