--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -413,6 +413,10 @@
   spdlog::debug("event=job_done id={} class={} tasks={} estimate={:.0f} submitted={:.1f} took={:.1f}",
                 id.value, job->spec.job_class, job->spec.tasks, job->spec.estimate_s, job->submitted,
                 now() - job->submitted);
+  if (job->is_gang())
+    spdlog::debug("event=gang_done id={} attempts={} machines={} placed_after={:.2f} complete_after={:.2f}",
+                  id.value, job->gang.number, job->gang.machines, job->gang.placed_at - job->submitted,
+                  job->gang.running_at - job->submitted);
   listener_.on_final(id, {wire::Stage::done, job->done_count, 0});
 }
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -360,6 +360,13 @@
 inline constexpr double kGangKeepAfter = 6.0;
 inline constexpr double kGangKeep = 50.0;
 inline constexpr double kGangKeepRest = 30.0;
+// Seconds within which a class wants its tasks started for room to be held for its gangs; any more and machines
+// can be rented when they come.
+inline constexpr double kQuickStart = 20.0;
+// Seconds for which gangs that came are remembered as a sign that more will come.
+inline constexpr double kReserveMemory = 120.0;
+// Seconds a job without room waits before it may take what is held for gangs.
+inline constexpr double kReservePatience = 30.0;
 // Seconds of a task's time that each sign of a slow machine counts as: all tasks go at the slowest one's
 // pace.
 inline constexpr double kSlowSignWeight = 20.0;
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -307,7 +307,7 @@
   std::size_t idle_left = idle.size();
   for (const Machine* machine : idle) {
     const double boots = machine->spot ? limits::kHoldBoots : limits::kHoldBootsOrdinary;
-    if (machine->kept_for != 0) continue;
+    if (machine->kept_for != 0 || machine->reserved) continue;
     if (now - machine->idle_since < boots * type_of(*machine)->boot_s) continue;
     ++count_.underwhelmed;
     if (idle_left <= wanted_free || fleet - back.size() <= config_.min_machines) break;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -86,6 +86,7 @@
   job.expected_s = estimates_.expected(job.spec.job_class, job.spec.estimate_s);
   job.team_usage = &usage_[job.spec.team];
   set_suits(job);
+  if (job.is_gang() && wants_quick_starts(job.spec)) reserve_.note_arrival(job.spec, now);
   ranking_stale_ = true;
   place_wanted_ = true;
   return job;
@@ -399,6 +400,7 @@
         if (task.state == TaskState::running && placement->running_since == 0) {
           placement->running_since = now;
           job->second.begun = true;
+          if (job->second.gang.running_at == 0) job->second.gang.running_at = now;
           note_image(machine, job->second);
         }
         placement->state = task.state;
@@ -605,9 +607,8 @@
     const wire::TaskRef ref{task.job->spec.id, task.index};
     if (placement.stopping) {
       orders.push_back({wire::Verb::stop, ref, placement.attempt, placement.grace_s});
-    } else if (allow_starts && placement.unsent() &&
-               !machine.draining && !machine.ends_at && !machine.returning &&
-               task.job->place_on_record(task.index)) {
+    } else if (allow_starts && placement.unsent() && !machine.draining && !machine.ends_at &&
+               !machine.returning && task.job->place_on_record(task.index)) {
       orders.push_back({wire::Verb::start, ref, placement.attempt, 0});
       placement.sent = true;
       placement.sent_session = machine.session;
@@ -737,6 +738,7 @@
   find_scarce_types(now);
   place_gangs_anywhere(now);
   keep_room_for_gang(now);
+  hold_reserve(now);
   if (now - preempted_at_ >= limits::kPreemptEvery) {
     preempted_at_ = now;
     make_room(now);
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/estimates.hpp"
+#include "core/gang_reserve.hpp"
 #include "core/model.hpp"
 
 namespace dockdyke::core {
@@ -85,10 +86,10 @@
 };
 struct Tick {};
 
-using Command = std::variant<JobLoaded, PageLoaded, GangPartLoaded, RentLoaded, ReturnLoaded, LoadDone,
-                             JobSubmitted, JobOffRecord, SaveDone, SaveConflict, SaveRejected,
-                             WriteRateLowered, MachinesListed, RentAnswered, RentRefused, MachinesDeleted,
-                             TypesChanged, Tick>;
+using Command =
+    std::variant<JobLoaded, PageLoaded, GangPartLoaded, RentLoaded, ReturnLoaded, LoadDone, JobSubmitted,
+                 JobOffRecord, SaveDone, SaveConflict, SaveRejected, WriteRateLowered, MachinesListed,
+                 RentAnswered, RentRefused, MachinesDeleted, TypesChanged, Tick>;
 
 // ---- Effects ----------------------------------------------------------------------------------------------
 
@@ -299,13 +300,17 @@
   // Breaks attempts that are not complete in time.
   void watch_gangs(Time now);
   // Places for all tasks of the gang on these machines; none where not all fit.
-  std::vector<GangPlace> gang_places(const Job& job, const std::vector<Machine*>& machines);
+  std::vector<GangPlace> gang_places(const Job& job, const std::vector<Machine*>& machines, Time now);
   bool place_gang(Job& job, const std::vector<Machine*>& machines, Time now);
   // Also on machines that do not wait for an answer at the moment.
   void place_gangs_anywhere(Time now);
   std::vector<Machine*> accepting_machines(Time now);
   // The machine's room is kept for a gang that is not this job.
-  static bool kept_from(const Job& job, const Machine& machine);
+  static bool kept_from(const Job& job, const Machine& machine, Time now);
+  // Marks the machines whose room is held for gangs to come.
+  void hold_reserve(Time now);
+  bool wants_quick_starts(const wire::JobSpec& spec) const;
+  Job model_gang(const wire::JobSpec& spec) const;
   // Keeps room as it frees for the first gang in line, which smaller work would otherwise take for ever.
   void keep_room_for_gang(Time now);
   bool keep_room(const Job& job, Time now);
@@ -374,7 +379,10 @@
   void give_back(std::vector<MachineId> machines, Time now);
   std::size_t type_number(const std::string& name) const;
   const wire::MachineType* type_of(const Machine& machine) const;
-  std::vector<Rooms> free_rooms(Time now);
+  // What tasks that end soon will leave.
+  wire::Resources freeing_room(const Machine& machine, bool pressed, Time now) const;
+  // Free and coming room; with `freeing`, also what tasks that end soon will leave.
+  std::vector<Rooms> free_rooms(bool freeing, Time now);
   // Types for which work waits so long that its start objective is in danger.
   std::vector<bool> pressed_types(Time now);
   // demand.cpp
@@ -384,10 +392,14 @@
   // Fills machines of one group with tasks of the job.
   void take_rooms(Demand& demand, Claim& claim, std::size_t group) const;
   // Where a gang that must share a zone finds room or is to get it.
-  std::optional<std::string> gang_zone(const Demand& demand, const Claim& claim, bool ordinary, Time now) const;
+  std::optional<std::string> gang_zone(const Demand& demand, const Claim& claim, bool ordinary,
+                                       Time now) const;
   void rent_rest(Demand& demand, Claim& claim, bool ordinary, Time now) const;
   void meet_claim(Demand& demand, const Ranked& ranked, Claim& claim, Time now) const;
+  Demand demand_for(std::vector<Rooms> rooms, std::size_t most) const;
   std::map<Offer, std::size_t> needed_machines(std::size_t most, Time now);
+  // What has to be rented for gangs to come.
+  std::map<Offer, std::size_t> needed_reserve(std::size_t most, Time now);
   std::optional<Offer> best_offer(const Job& job, std::size_t tasks, bool ordinary,
                                   const std::set<std::size_t>& avoided, const Zones& zones,
                                   const std::map<std::string, std::size_t>& in_zone, Time now) const;
@@ -420,6 +432,8 @@
   std::set<std::size_t> scarce_;
   std::size_t open_tier_ = 0;  // the tiers up to this one have room enough for all that waits
   Estimates estimates_;
+  GangReserve reserve_;
+  std::vector<GangReserve::Wanted> reserve_wanted_;  // of the last tick
   std::vector<Effect> effects_;
 
   // Pages and transactions on their way.
--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -71,7 +71,17 @@
   return pressed;
 }
 
-std::vector<Cluster::Rooms> Cluster::free_rooms(Time now) {
+wire::Resources Cluster::freeing_room(const Machine& machine, bool pressed, Time now) const {
+  wire::Resources freeing;
+  for (const auto& task : machine.placements) {
+    const bool soon = pressed ? nearly_done(*task.job, task.placement(), now)
+                              : frees_soon(*task.job, task.placement(), now);
+    if (soon) freeing += task.job->spec.each;
+  }
+  return freeing;
+}
+
+std::vector<Cluster::Rooms> Cluster::free_rooms(bool freeing, Time now) {
   const auto pressed = pressed_types(now);
   using Key = std::tuple<std::size_t, std::string, bool, long, long, long>;
   std::map<Key, std::size_t> counts;
@@ -86,10 +96,7 @@
     wire::Resources free = room(machine);
     if (machine.state == MachineState::up) {
       if (!accepts(machine, now)) continue;
-      for (const auto& task : machine.placements)
-        if (pressed[machine.type_number] ? nearly_done(*task.job, task.placement(), now)
-                                         : frees_soon(*task.job, task.placement(), now))
-          free += task.job->spec.each;
+      if (freeing) free += freeing_room(machine, pressed[machine.type_number], now);
     } else if (machine.state != MachineState::booting || late(machine, now)) {
       continue;
     }
@@ -122,7 +129,8 @@
 
 }  // namespace
 
-// What is free or coming, and what has to be rented beside it, while the waiting jobs are gone through in order.
+// What is free or coming, and what has to be rented beside it, while the waiting jobs are gone through in
+// order.
 struct Cluster::Demand {
   std::vector<Rooms> rooms;
   std::map<std::string, std::size_t> in_zone;  // machines
@@ -193,9 +201,9 @@
     const auto& size = types_[rented].size;
     const std::size_t per_machine = std::max<std::size_t>(1, tasks_fitting(claim.job.spec.each, size));
     // As many as it needs, but turn by turn where its zones or the next offer matter.
-    const std::size_t count = claim.zones ? 1
-                                          : std::min({demand.most, (claim.left + per_machine - 1) / per_machine,
-                                                      limits::kMaxRent});
+    const std::size_t count =
+        claim.zones ? 1
+                    : std::min({demand.most, (claim.left + per_machine - 1) / per_machine, limits::kMaxRent});
     demand.rooms.push_back({rented, zone, spot, size, count});
     demand.needed[*offer] += count;
     demand.in_zone[zone] += count;
@@ -229,13 +237,40 @@
   rent_rest(demand, claim, ordinary, now);
 }
 
-std::map<Offer, std::size_t> Cluster::needed_machines(std::size_t most, Time now) {
+Cluster::Demand Cluster::demand_for(std::vector<Rooms> rooms, std::size_t most) const {
   Demand demand;
-  demand.rooms = free_rooms(now);
+  demand.rooms = std::move(rooms);
   demand.most = most;
   for (const auto& [id, machine] : machines_) ++demand.in_zone[machine.zone];
   for (const auto& [id, pending] : rents_) demand.in_zone[pending.rental.zone] += pending.rental.count;
+  return demand;
+}
 
+std::map<Offer, std::size_t> Cluster::needed_reserve(std::size_t most, Time now) {
+  if (reserve_wanted_.empty()) return {};
+  // Room that is about to free is no reserve: at any time, as much is about to be asked for.
+  Demand demand = demand_for(free_rooms(false, now), 0);
+  for (const auto& ranked : ranking(now)) {
+    const Job& job = *ranked.job;
+    if (!job.is_gang() || job.waiting() == 0) continue;
+    Claim claim{job, job.waiting(), zone_room(job), {}};
+    meet_claim(demand, ranked, claim, now);
+  }
+  demand.most = most;
+  for (const auto& wanted : reserve_wanted_) {
+    Job gang = model_gang(wanted.largest);
+    Ranked ranked;
+    ranked.job = &gang;
+    for (std::size_t i = 0; i < wanted.gangs; ++i) {
+      Claim claim{gang, gang.spec.tasks, zone_room(gang), {}};
+      meet_claim(demand, ranked, claim, now);
+    }
+  }
+  return std::move(demand.needed);
+}
+
+std::map<Offer, std::size_t> Cluster::needed_machines(std::size_t most, Time now) {
+  Demand demand = demand_for(free_rooms(true, now), most);
   count_.waiting_tasks = 0;
   std::size_t looked_at = 0;
   for (const auto& ranked : ranking(now)) {
@@ -258,15 +293,19 @@
   auto calls =
       static_cast<std::size_t>(std::max(1.0, config_.cloud_rps * limits::kHousekeeping * limits::kRentShare));
   std::size_t renting = 0;
-  for (auto [offer, machines] : needed_machines(most, now)) {
-    // A large need takes several calls, each of them full.
-    for (; machines > 0 && calls > 0; --calls) {
-      const auto count = std::min<std::size_t>(machines, limits::kMaxRent);
-      rent(offer, count, now);
-      machines -= count;
-      renting += count;
+  const auto rent_all = [&](const std::map<Offer, std::size_t>& needed) {
+    for (auto [offer, machines] : needed) {
+      // A large need takes several calls, each of them full.
+      for (; machines > 0 && calls > 0; --calls) {
+        const auto count = std::min<std::size_t>(machines, limits::kMaxRent);
+        rent(offer, count, now);
+        machines -= count;
+        renting += count;
+      }
     }
-  }
+  };
+  rent_all(needed_machines(most, now));
+  rent_all(needed_reserve(most - std::min(most, renting), now));
   return renting;
 }
 
--- /dev/null
+++ b/src/core/gang_reserve.cpp
@@ -0,0 +1,31 @@
+#include "core/gang_reserve.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace dockdyke::core {
+
+void GangReserve::note_arrival(const wire::JobSpec& spec, Time now) {
+  arrivals_[spec.job_class].push_back({now, spec});
+}
+
+std::vector<GangReserve::Wanted> GangReserve::wanted(double window_s, Time now) {
+  std::vector<Wanted> out;
+  for (auto& [job_class, arrivals] : arrivals_) {
+    while (!arrivals.empty() && now - arrivals.front().at > limits::kReserveMemory) arrivals.pop_front();
+    if (arrivals.empty()) continue;
+    const auto size = [](const Arrival& each) { return each.spec.each.cpus * each.spec.tasks; };
+    const auto largest = std::max_element(arrivals.begin(), arrivals.end(),
+                                          [&](const auto& a, const auto& b) { return size(a) < size(b); });
+    const auto lately = std::count_if(arrivals.begin(), arrivals.end(),
+                                      [&](const Arrival& each) { return now - each.at <= window_s; });
+    const double gangs = std::ceil(std::sqrt(static_cast<double>(lately)));
+    out.push_back({largest->spec, std::max<std::size_t>(1, static_cast<std::size_t>(gangs))});
+  }
+  return out;
+}
+
+}  // namespace dockdyke::core
--- /dev/null
+++ b/src/core/gang_reserve.hpp
@@ -0,0 +1,39 @@
+// How much room to hold ready for gangs that are yet to come.
+//
+// Owners want gangs to start within seconds, machines boot for most of a minute, and a gang needs all its
+// room at once. While a class of gangs keeps coming, room is held for as many as usually come more than the
+// average while a machine boots: the square root of their number, as for arrivals that are independent of
+// each other.
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/model.hpp"
+
+namespace dockdyke::core {
+
+class GangReserve {
+ public:
+  struct Wanted {
+    wire::JobSpec largest;  // the largest gang of the class that came lately
+    std::size_t gangs = 0;
+  };
+
+  // A gang of a class whose owners want quick starts was submitted.
+  void note_arrival(const wire::JobSpec& spec, Time now);
+  // By class; `window_s` is the time in which more machines could be had.
+  std::vector<Wanted> wanted(double window_s, Time now);
+
+ private:
+  struct Arrival {
+    Time at = 0;
+    wire::JobSpec spec;
+  };
+  std::map<std::string, std::deque<Arrival>> arrivals_;  // by class, within the memory
+};
+
+}  // namespace dockdyke::core
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -225,7 +225,7 @@
 
 }  // namespace
 
-std::vector<GangPlace> Cluster::gang_places(const Job& job, const std::vector<Machine*>& machines) {
+std::vector<GangPlace> Cluster::gang_places(const Job& job, const std::vector<Machine*>& machines, Time now) {
   const std::size_t tasks = job.spec.tasks;
   if (limit_room(job) < tasks) return {};
   const std::size_t most_per_zone =
@@ -235,7 +235,7 @@
   std::map<std::string, std::vector<Candidate>> groups;  // by zone where all tasks must share one
   looks_ += machines.size();
   for (Machine* machine : machines) {
-    if (kept_from(job, *machine)) continue;
+    if (kept_from(job, *machine, now)) continue;
     const auto cost = cost_of(job, *machine, largest);
     if (!cost) continue;
     Candidate candidate{machine, 0, *cost, tasks_fitting(job.spec.each, room(*machine))};
@@ -256,7 +256,7 @@
 
 bool Cluster::place_gang(Job& job, const std::vector<Machine*>& machines, Time now) {
   if (job.failed_on.size() >= limits::kSuspectMachines) job.failed_on.clear();
-  const auto places = gang_places(job, machines);
+  const auto places = gang_places(job, machines, now);
   if (places.empty()) return false;
   GangAttempt& gang = job.gang;
   ++gang.number;
@@ -264,6 +264,8 @@
   gang.blamed = false;
   gang.confirmed = 0;
   gang.placed_at = now;
+  gang.running_at = 0;
+  gang.machines = places.size();
   job.next_fresh = job.spec.tasks;
   std::vector<TaskRecord> records;
   TaskIndex index = 0;
@@ -306,10 +308,53 @@
   }
 }
 
-bool Cluster::kept_from(const Job& job, const Machine& machine) {
+bool Cluster::kept_from(const Job& job, const Machine& machine, Time now) {
+  if (machine.reserved && !job.is_gang() && now - job.waiting_since < limits::kReservePatience) return true;
   return machine.kept_for != 0 && machine.kept_for != job.serial;
 }
 
+bool Cluster::wants_quick_starts(const wire::JobSpec& spec) const {
+  return std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
+    return objective.kind == Objective::Kind::wait && objective.job_class == spec.job_class &&
+           objective.within_s < limits::kQuickStart;
+  });
+}
+
+Job Cluster::model_gang(const wire::JobSpec& spec) const {
+  Job job;
+  job.spec = spec;
+  set_suits(job);
+  return job;
+}
+
+void Cluster::hold_reserve(Time now) {
+  double boot_s = 0;
+  for (const auto& type : types_) boot_s = std::max(boot_s, type.boot_s);
+  reserve_wanted_ = reserve_.wanted(boot_s, now);
+  for (auto& [id, machine] : machines_) machine.reserved = false;
+  if (reserve_wanted_.empty()) return;
+  const auto machines = accepting_machines(now);
+  for (const auto& wanted : reserve_wanted_) {
+    if (wanted.largest.spot_allowed) continue;  // other work may use the same machines at no loss
+    const Job gang = model_gang(wanted.largest);
+    std::vector<std::pair<std::size_t, Machine*>> rooms;
+    for (Machine* machine : machines) {
+      if (machine->reserved || !allowed_on(gang, machine->type_number, machine->zone, machine->spot))
+        continue;
+      if (const auto fits = tasks_fitting(gang.spec.each, room(*machine)); fits > 0)
+        rooms.emplace_back(fits, machine);
+    }
+    std::stable_sort(rooms.begin(), rooms.end(),
+                     [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::size_t missing = wanted.gangs * gang.spec.tasks;
+    for (const auto& [fits, machine] : rooms) {
+      if (missing == 0) break;
+      machine->reserved = true;
+      missing -= std::min(missing, fits);
+    }
+  }
+}
+
 void Cluster::keep_room_for_gang(Time now) {
   bool any_kept = false;
   for (auto& [id, machine] : machines_) {
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -102,7 +102,8 @@
   bool broken = false;          // a task is gone or is to go: the others are stopped
   bool blamed = false;          // its failure has been counted
   Time placed_at = 0;
-  Time tried_at = 0;              // the last search for places among all machines
+  Time running_at = 0;            // when one of its tasks was first seen running: all were, then
+  std::size_t machines = 0;       // on which it was placed
   std::vector<std::string> keys;  // of parts that may be stored, of earlier attempts too
 
   bool durable() const { return parts > 0 && confirmed == parts; }
@@ -206,6 +207,7 @@
   // Its room is kept for this waiting gang (a job's serial) until then.
   std::uint32_t kept_for = 0;
   Time kept_until = 0;
+  bool reserved = false;  // its room is held for gangs to come
   Time idle_since = 0;
   std::vector<std::pair<std::string, double>> images;  // most recent last
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -338,7 +338,7 @@
   std::vector<std::pair<double, Machine*>> offers;
   for (Machine* machine : open) {
     ++looks_;
-    if (avoided.contains(machine->type_number) || kept_from(job, *machine)) continue;
+    if (avoided.contains(machine->type_number) || kept_from(job, *machine, now)) continue;
     if (picky && tier(*machine) > open_tier_) continue;
     if (!any_image && !machine->has_image(job.spec.image) && !fetches_image(*machine, job)) continue;
     if (const auto cost = cost_of(job, *machine, largest)) offers.emplace_back(*cost, machine);
@@ -441,8 +441,7 @@
     // took a third of the leader's processor time at 2,049 machines.
     if (!least || (job.spec.priority <= *least && !ranked.guaranteed)) continue;
     if (job.is_gang() || job.waiting() == 0 || now < job.not_before ||
-        now - job.waiting_since < limits::kPreemptWait ||
-        limit_room(job) == 0)
+        now - job.waiting_since < limits::kPreemptWait || limit_room(job) == 0)
       continue;
     if (!open) {
       open.emplace();
--- a/src/core/records.hpp
+++ b/src/core/records.hpp
@@ -60,8 +60,8 @@
 // writes follows time and not tasks. The newest page that names a task tells its state.
 using PageRecord = std::map<JobId, std::vector<TaskRecord>>;
 
-// One part of the record of a gang's attempt: the machines of some of its tasks. An attempt may be started only
-// when all its parts are stored, so a leader that finds fewer knows that nothing runs under that number.
+// One part of the record of a gang's attempt: the machines of some of its tasks. An attempt may be started
+// only when all its parts are stored, so a leader that finds fewer knows that nothing runs under that number.
 // The records have a prefix of their own, which earlier versions neither read nor remove.
 struct GangPart {
   JobId job;
@@ -86,8 +86,8 @@
                                  std::size_t value_bytes);
 
 // Builds the transaction that cancels a job: the open record becomes the final one, and a copy stays until
-// its tasks, which pages may name, are proved gone. The copy never needs a larger value than `value_bytes`, also
-// where the record was written under a higher limit.
+// its tasks, which pages may name, are proved gone. The copy never needs a larger value than `value_bytes`,
+// also where the record was written under a higher limit.
 wire::Transaction cancellation(JobRecord record, Revision version, std::uint64_t done,
                                std::int64_t time_of_day_ms, std::size_t value_bytes);
 // Whether the record, and its copy after a cancellation, fit into a value.
