--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -276,9 +276,8 @@
     if (found.outcome != Outcome::ok) co_return come_back();
     if (is_final(found.status.stage) || !found.open)
       co_return answer(200, wire::job_answer(id, found.status.stage));
-    const auto txn =
-        core::cancellation(*found.open, found.version, found.status.done,
-                                        loop_.time_of_day_ms(), config_.value_bytes);
+    const auto txn = core::cancellation(*found.open, found.version, found.status.done, loop_.time_of_day_ms(),
+                                        config_.value_bytes);
     store::Result<store::Committed> committed = co_await state_.commit(txn, store::Urgency::high, deadline);
     if (committed) {
       remember(id, {Stage::cancelled, found.status.done, 0});
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -18,7 +18,8 @@
     : loop_(loop),
       transport_(transport),
       settings_(std::move(settings)),
-      state_(loop, transport, settings_.state, {settings_.state_rps, settings_.state_write_rps, settings_.state_write_rps_later}),
+      state_(loop, transport, settings_.state,
+             {settings_.state_rps, settings_.state_write_rps, settings_.state_write_rps_later}),
       cloud_(loop, transport, settings_.cloud, settings_.cluster.cloud_rps),
       frontend_(
           loop, state_, settings_.cluster,
@@ -33,7 +34,8 @@
                  [this](store::Leadership leadership, net::TimePoint asked_at) {
                    leader_ = settings_.host;
                    term_ = std::make_shared<Term>(
-                       Term::Services{loop_, state_, cloud_}, settings_.cluster, leadership, asked_at,
+                       Term::Services{loop_, state_, cloud_, transport_}, settings_.cluster, leadership,
+                       asked_at,
                        Term::Listener{[this] { election_.step_down(); },
                                       [this](const JobId& id, const wire::JobStatus& status) {
                                         frontend_.remember(id, status);
@@ -223,11 +225,12 @@
   leader_was_slow_ = response ? 0 : leader_was_slow_ + 1;
   if (leader_was_slow_ >= limits::kSlowInARow)
     leader_rests_until_ = loop_.now() + net::seconds(limits::kLeaderRest);
-  // What the leader can't take, perhaps because the store refuses it alone, this controller may be able to. And
-  // what it calls malformed has passed our own check: it may be of an earlier version.
+  // What the leader can't take, perhaps because the store refuses it alone, this controller may be able to.
+  // And what it calls malformed has passed our own check: it may be of an earlier version.
   constexpr int kMalformed = 400;
   constexpr int kUnavailable = 503;
-  if (response && (response->status == kUnavailable || response->status == kMalformed)) co_return std::nullopt;
+  if (response && (response->status == kUnavailable || response->status == kMalformed))
+    co_return std::nullopt;
   co_return response;
 }
 
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -156,7 +156,8 @@
   const StoreLimits limits_now = store_limits(state);
   const auto next = state.optional_section("next");
   const StoreLimits limits_later = next ? store_limits(*next) : limits_now;
-  out.state_write_rps_later = std::min(out.state_write_rps, next ? next->positive("write_rps") : out.state_write_rps);
+  out.state_write_rps_later =
+      std::min(out.state_write_rps, next ? next->positive("write_rps") : out.state_write_rps);
   out.cluster.value_bytes = std::min(limits_now.value_bytes, limits_later.value_bytes);
   out.cluster.txn_ops = std::min(limits_now.txn_ops, limits_later.txn_ops);
   const auto cloud = settings.section("cloud");
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -30,7 +30,8 @@
   std::vector<Sibling> siblings;
   double state_rps = 0;
   double state_write_rps = 0;
-  double state_write_rps_later = 0;  // the limit after an announced change, without notice; the same without one
+  double state_write_rps_later =
+      0;  // the limit after an announced change, without notice; the same without one
   std::size_t connections = 0;
   core::Config cluster;
 };
--- a/src/app/term.cpp
+++ b/src/app/term.cpp
@@ -514,6 +514,24 @@
   co_return;
 }
 
+net::Task<void> Term::carry_out(Self self, core::DirectStop effect) {
+  const auto address = net::Address::parse(effect.address);
+  if (!address) co_return;
+  auto& services = self->services_;
+  // Later than this the others no longer wait for it, and the answer to its report tells it to end as well.
+  const auto deadline = services.loop.now() + net::seconds(self->config_.gang_peer_s);
+  const std::string body = wire::encode(wire::direct_orders(self->token(), effect.session, effect.orders));
+  while (self->alive_ && services.loop.now() < deadline) {
+    net::CallResult result =
+        co_await services.transport.call(*address, "POST", std::string(wire::path::kDirectOrders), body,
+                                         net::seconds(limits::kDirectOrderTimeout));
+    spdlog::info("event=direct_stop machine={} status={}", effect.machine.value,
+                 result.response ? result.response->status : 0);
+    if (result.response) co_return;
+    co_await services.loop.sleep(net::seconds(limits::kDirectOrderRetry));
+  }
+}
+
 void Term::discard(std::vector<std::string> keys) {
   std::move(keys.begin(), keys.end(), std::back_inserter(discarded_));
   if (!discarding_) net::spawn(remove_discarded(shared_from_this()));
--- a/src/app/term.hpp
+++ b/src/app/term.hpp
@@ -24,6 +24,7 @@
     net::Loop& loop;
     store::StateClient& state;
     cloud::CloudClient& cloud;
+    net::Transport& transport;  // to workers
   };
 
   struct Listener {
@@ -77,6 +78,7 @@
   static net::Task<void> carry_out(Self self, core::Rent effect);
   static net::Task<void> carry_out(Self self, core::GiveBack effect);
   static net::Task<void> carry_out(Self self, core::Discard effect);
+  static net::Task<void> carry_out(Self self, core::DirectStop effect);
 
   // All that a new leader reads, and the revision from which changes are to be watched.
   struct Records {
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -360,6 +360,11 @@
 inline constexpr double kGangKeepAfter = 6.0;
 inline constexpr double kGangKeep = 50.0;
 inline constexpr double kGangKeepRest = 30.0;
+// Seconds that a gang's tasks get to save beyond what they say they need, since the tasks told first wait for the
+// others; and seconds that a worker has to take a direct order, and between two tries.
+inline constexpr double kGangSaveMargin = 2.0;
+inline constexpr double kDirectOrderTimeout = 1.5;
+inline constexpr double kDirectOrderRetry = 0.5;
 // Seconds within which a class wants its tasks started for room to be held for its gangs; any more and machines
 // can be rented when they come.
 inline constexpr double kQuickStart = 20.0;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -349,6 +349,7 @@
   machine.last_report = now;
   machine.answer_open = true;
   open_answers_.insert(&machine);
+  if (machine.address != report.address) machine.address = report.address;
   if (report.notice_s) machine.ends_at = now + *report.notice_s;
   machine.trusted = report.token == token_;
   place_wanted_ = true;
@@ -695,11 +696,6 @@
   give_back(std::move(held), now);
 }
 
-bool Cluster::all_on(const Job& job, const Machine& machine) {
-  return std::all_of(job.placements.begin(), job.placements.end(),
-                     [&](const auto& each) { return each.second.machine == &machine; });
-}
-
 void Cluster::stop_for_notices(Machine& machine, Time now) {
   if (!machine.ends_at) return;
   withdraw_unsent(machine, now);
@@ -708,7 +704,10 @@
     const auto& spec = task.job->spec;
     Placement& placement = task.placement();
     if (placement.stopping) continue;
-    if (task.job->is_gang() && !all_on(*task.job, machine)) continue;
+    if (task.job->is_gang()) {
+      stop_gang_for_notice(*task.job, left, now);
+      continue;
+    }
     const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
     const double remaining = std::max(0.0, task.job->expected_s - ran);
     if (spec.checkpoint_s > 0) {
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -115,7 +115,17 @@
   std::vector<std::string> keys;
 };
 
-using Effect = std::variant<Rent, GiveBack, Discard>;
+// Orders that stop tasks, sent straight to their worker: a gang saves only if all its tasks are told nearly
+// at the same time, which reports don't allow for. They name an attempt that is being stopped anyway, so a
+// late or repeated copy starts nothing and ends nothing that should go on.
+struct DirectStop {
+  MachineId machine;
+  std::string address;
+  std::uint64_t session = 0;
+  std::vector<wire::Order> orders;
+};
+
+using Effect = std::variant<Rent, GiveBack, Discard, DirectStop>;
 
 // What became of a report.
 enum class ReportFate { taken, stale, overtaken };
@@ -253,8 +263,6 @@
   // The worker's lease has run out on answers of ours alone.
   bool lease_over(const Machine& machine, Time now) const;
   void stop_for_notices(Machine& machine, Time now);
-  // All the job's places are on this machine.
-  static bool all_on(const Job& job, const Machine& machine);
   bool result_on_record(const wire::ReportedTask& task) const;
 
   // pages.cpp: what happened to tasks, on record
@@ -296,6 +304,12 @@
   // The attempt can't succeed any more; `settle_gangs` stops what is left of it.
   void break_gang(Job& job);
   void gang_task_released(Job& job, Time now);
+  // Whether all its tasks run where they can be told to save now, and more would be lost otherwise.
+  bool can_save_gang(const Job& job, Time now) const;
+  // Tells all tasks to save and to end.
+  void save_gang(Job& job);
+  // One of its machines ends in `left_s`.
+  void stop_gang_for_notice(Job& job, double left_s, Time now);
   void settle_gangs(Time now);
   // Breaks attempts that are not complete in time.
   void watch_gangs(Time now);
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -1,6 +1,7 @@
 // Gangs: jobs whose tasks all run at the same time or not at all. One attempt number covers all tasks; their
 // machines are chosen together, stored together before the first start, and given up together.
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <tuple>
 #include <utility>
@@ -133,12 +134,54 @@
   // All are proved gone: the next attempt may be made.
   job.gang.broken = false;
   job.gang.blamed = false;
+  job.gang.saving = false;
   job.returned.clear();
   job.next_fresh = 0;
   job.waiting_since = now;
   ranking_stale_ = true;
 }
 
+bool Cluster::can_save_gang(const Job& job, Time now) const {
+  if (job.spec.checkpoint_s <= 0 || job.gang.broken || job.gang.running_at == 0) return false;
+  const bool all_reached = std::all_of(job.placements.begin(), job.placements.end(), [&](const auto& each) {
+    const Machine& machine = *each.second.machine;
+    return each.second.shown && each.second.state == wire::TaskState::running && machine.trusted &&
+           machine.unheeded == 0 && !silent(machine, now);
+  });
+  // What has run since the last checkpoint, as far as is known here, must be worth the time that saving
+  // takes.
+  const double unsaved_s = std::fmod(now - job.gang.running_at, job.spec.checkpoint_s);
+  return all_reached && job.placements.size() == job.spec.tasks && unsaved_s > job.spec.save_s;
+}
+
+void Cluster::save_gang(Job& job) {
+  job.gang.broken = true;
+  job.gang.saving = true;
+  std::map<Machine*, std::vector<wire::Order>> orders;
+  for (auto& [index, placement] : job.placements) {
+    stop(placement, job.spec.save_s + limits::kGangSaveMargin);
+    orders[placement.machine].push_back(
+        {wire::Verb::stop, {job.spec.id, index}, placement.attempt, placement.grace_s});
+  }
+  // Where all are on one machine its next answer tells them at the same time.
+  if (orders.size() < 2) return;
+  for (auto& [machine, each] : orders)
+    effects_.emplace_back(DirectStop{machine->id, machine->address, machine->session, std::move(each)});
+}
+
+void Cluster::stop_gang_for_notice(Job& job, double left_s, Time now) {
+  if (job.gang.broken || job.complete() || job.cancelled) return;
+  const auto& spec = job.spec;
+  const double ran = job.gang.running_at > 0 ? now - job.gang.running_at : 0;
+  if (job.expected_s - ran <= left_s) return;  // it may well end before
+  const double needed_s = spec.save_s + limits::kNoticeMargin + 1.25 * config_.report_s;
+  if (spec.checkpoint_s <= 0) {
+    break_gang(job);  // nothing of it can be kept: the sooner it starts again elsewhere the better
+  } else if (left_s <= needed_s && left_s > spec.save_s && can_save_gang(job, now)) {
+    save_gang(job);
+  }
+}
+
 void Cluster::settle_gangs(Time now) {
   for (const auto serial : std::exchange(broken_gangs_, {})) {
     auto found = by_serial_.find(serial);
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -101,6 +101,7 @@
   std::uint32_t confirmed = 0;  // parts known to be stored
   bool broken = false;          // a task is gone or is to go: the others are stopped
   bool blamed = false;          // its failure has been counted
+  bool saving = false;          // all its tasks were told to save
   Time placed_at = 0;
   Time running_at = 0;            // when one of its tasks was first seen running: all were, then
   std::size_t machines = 0;       // on which it was placed
@@ -172,6 +173,7 @@
   std::size_t type_number = kNoType;
   std::string zone;
   bool spot = false;
+  std::string address;  // of its worker
   MachineState state = MachineState::booting;
   Time rented_at = 0;
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -231,8 +231,8 @@
 
 namespace {
 
-// A word that a later version of the workers uses must not make the whole report worthless: the worker's lease
-// would run out on it. Such a task counts as there, in a state that proves nothing.
+// A word that a later version of the workers uses must not make the whole report worthless: the worker's
+// lease would run out on it. Such a task counts as there, in a state that proves nothing.
 void read_state(const Json& reported, ReportedTask& task) {
   task.state = meaning(kTaskStates, require_text(reported, "stage")).value_or(TaskState::unknown);
   if (task.state != TaskState::exited) return;
@@ -267,7 +267,9 @@
   return report;
 }
 
-Json report_answer(Token token, const std::vector<Order>& orders) {
+namespace {
+
+Json orders_to_json(const std::vector<Order>& orders) {
   Json list = Json::array();
   for (const auto& order : orders) {
     Json each{
@@ -275,7 +277,17 @@
     if (order.verb == Verb::stop) each["leeway_s"] = order.grace_s;
     list.push_back(std::move(each));
   }
-  return Json{{"warrant", token.value}, {"orders", std::move(list)}};
+  return list;
+}
+
+}  // namespace
+
+Json report_answer(Token token, const std::vector<Order>& orders) {
+  return Json{{"warrant", token.value}, {"orders", orders_to_json(orders)}};
+}
+
+Json direct_orders(Token token, std::uint64_t session, const std::vector<Order>& orders) {
+  return Json{{"warrant", token.value}, {"watch", session}, {"orders", orders_to_json(orders)}};
 }
 
 Json redirect_answer(const std::string& host) {
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -15,8 +15,8 @@
 
 // ---- Jobs -------------------------------------------------------------------------------------------------
 
-// How the tasks of a job relate: independent tasks, tasks that must all run at the same time, or replicas that
-// run until the job is cancelled.
+// How the tasks of a job relate: independent tasks, tasks that must all run at the same time, or replicas
+// that run until the job is cancelled.
 enum class Shape { array, gang, service };
 enum class Priority { low, normal, high, critical };
 enum class Stage { pending, running, done, cancelled };
@@ -119,6 +119,8 @@
   double grace_s = 0;
 };
 Json report_answer(Token token, const std::vector<Order>& orders);
+// Orders sent straight to a worker; it carries them out only in this session and under this or a lower token.
+Json direct_orders(Token token, std::uint64_t session, const std::vector<Order>& orders);
 Json redirect_answer(const std::string& host);
 
 // ---- Cloud ------------------------------------------------------------------------------------------------
@@ -168,6 +170,7 @@
 inline constexpr std::string_view kCancel = "/withdraw";
 inline constexpr std::string_view kHealth = "/healthz";
 inline constexpr std::string_view kReport = "/v1/report";
+inline constexpr std::string_view kDirectOrders = "/commands";  // of a worker
 inline constexpr std::string_view kMachineTypes = "/flavors";
 inline constexpr std::string_view kMachines = "/machines";
 inline constexpr std::string_view kDelete = "/machines/delete";
--- a/tests/gang_story_test.cpp
+++ b/tests/gang_story_test.cpp
@@ -127,6 +127,44 @@
   }
 }
 
+TEST(GangStory, AGangSavesTogetherBeforeOneOfItsMachinesIsTaken) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    SCOPED_TRACE(seed);
+    World world({.seed = seed});
+    auto spec = gang_spec("job-1", 5, 4, 100);
+    spec.checkpoint_s = 30;
+    spec.save_s = 1;
+    world.submit(spec);
+    ASSERT_TRUE(world.run_until([&] { return all_running(world, "job-1"); }, 60));
+    ASSERT_GT(world.workers_of("job-1").size(), 1u);
+    world.run(14);
+    world.give_notice(*world.workers_of("job-1").at(0), 10);
+    world.run(15);
+    EXPECT_EQ(world.gang_saves(), 1u);
+    EXPECT_GT(world.direct_orders(), 1u);
+    world.expect_all_served(300);
+    EXPECT_EQ(world.gang_starts(), 2u);
+  }
+}
+
+TEST(GangStory, NoSaveIsBegunWhileAMachineOfTheGangIsSilent) {
+  World world({.seed = 2});
+  auto spec = gang_spec("job-1", 5, 4, 100);
+  spec.checkpoint_s = 30;
+  spec.save_s = 1;
+  world.submit(spec);
+  ASSERT_TRUE(world.run_until([&] { return all_running(world, "job-1"); }, 60));
+  const auto workers = world.workers_of("job-1");
+  ASSERT_GT(workers.size(), 1u);
+  world.run(14);
+  world.trouble(workers.at(1)->id, "dyke", Link::lose_request, 14);
+  world.run(5);
+  world.give_notice(*workers.at(0), 8);
+  world.run(9);
+  EXPECT_EQ(world.direct_orders(), 0u);
+  world.expect_all_served(300);
+}
+
 TEST(GangStory, AGangIsNotKeptOutBySmallerWork) {
   World world({.seed = 4});
   world.capacity = 2;  // in each zone and of each kind
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -55,6 +55,7 @@
     std::string cause;
     net::TimePoint image_at;
     net::TimePoint ends_at;
+    bool stored = false;
     bool on_machine() const {
       return state == wire::TaskState::running || state == wire::TaskState::saving ||
              state == wire::TaskState::waiting;
@@ -66,6 +67,8 @@
     bool started = false;
     net::TimePoint ends_at;
     std::optional<net::TimePoint> broken_at;  // some task was gone or hung after the start
+    std::optional<net::TimePoint> told_at;    // the first was told to save
+    bool saved = false;
   };
 
   struct SimWorker {
@@ -86,6 +89,7 @@
     bool in_flight = false;
     std::size_t controller = 0;
     net::TimePoint hung_until;
+    net::TimePoint taken_at;  // by the cloud, as announced; the epoch: not announced
     std::vector<HeldTask> tasks;
     std::set<wire::TaskRef> results;  // completed here: exits with `done` when started again
   };
@@ -215,6 +219,22 @@
   const std::map<std::string, SimJob>& all_jobs() const { return jobs_; }
   std::size_t starts() const { return starts_; }
   std::size_t gang_starts() const { return gang_starts_; }
+  // Gangs all of whose tasks saved together.
+  std::size_t gang_saves() const { return gang_saves_; }
+  std::size_t direct_orders() const { return direct_orders_; }
+  // The cloud takes the machine back in so many seconds, and its worker reports it.
+  void give_notice(SimWorker& worker, double notice_s) {
+    worker.taken_at = loop.now() + net::seconds(notice_s);
+    worker.changed = true;
+    const auto timer = [this, id = worker.id] {
+      for (auto& each : workers_)
+        if (each->id == id && !each->gone_at) {
+          each->gone_at = loop.now();
+          each->tasks.clear();
+        }
+    };
+    loop.at(worker.taken_at, timer);
+  }
   double random(double from, double to) { return std::uniform_real_distribution<double>(from, to)(random_); }
   std::size_t pick(std::size_t of) { return std::uniform_int_distribution<std::size_t>(0, of - 1)(random_); }
 
@@ -415,7 +435,11 @@
     if (fate.lose_request) co_return;
     co_await world->loop.sleep(net::seconds(fate.request_s));
     net::HttpMessage answer;
-    if (to == "store") {
+    if (to.starts_with("n-")) {
+      std::optional<net::HttpMessage> said = co_await world->at_worker(std::move(to), std::move(body));
+      if (!said) co_return;
+      answer = *std::move(said);
+    } else if (to == "store") {
       answer = co_await world->at_store(std::move(from), fate.refuse, std::move(method), std::move(target),
                                         std::move(body));
     } else if (fate.refuse) {
@@ -456,6 +480,30 @@
     co_return out;
   }
 
+  // A direct order. A machine that hangs carries it out when it goes on; one that is gone never answers.
+  net::Task<std::optional<net::HttpMessage>> at_worker(std::string to, std::string body) {
+    const auto found =
+        std::find_if(workers_.begin(), workers_.end(), [&](const auto& each) { return each->id == to; });
+    if (found == workers_.end()) co_return std::nullopt;
+    const auto worker = *found;
+    while (worker->hung_until > loop.now() && !worker->gone_at)
+      co_await loop.sleep(worker->hung_until - loop.now());
+    if (worker->gone_at) co_return std::nullopt;
+    const auto request = wire::decode(body);
+    const auto token = request->at("warrant").get<std::uint64_t>();
+    if (token < worker->token || request->at("watch").get<std::uint64_t>() != worker->session ||
+        lease_over(*worker))
+      co_return reply(409, Json::object());
+    worker->token = token;
+    ++worker->sequence;
+    ++direct_orders_;
+    for (const auto& order : request->at("orders")) {
+      EXPECT_EQ(order.at("verb"), "kill") << "starts go only in answers to reports";
+      obey(*worker, order);
+    }
+    co_return reply(200, Json::object());
+  }
+
   // ---- Store and cloud ------------------------------------------------------------------------------------
 
   bool refused_by_store(const std::string& from) {
@@ -602,6 +650,11 @@
         task.state = wire::TaskState::exited;
         task.cause = "alone";
         worker.changed = true;
+      } else if (task.state == wire::TaskState::saving && !is_gang(task) && task.ends_at <= now) {
+        task.state = wire::TaskState::exited;
+        task.cause = "halted";
+        task.stored = true;
+        worker.changed = true;
       } else if (task.state == wire::TaskState::running && !is_gang(task) && task.ends_at <= now) {
         task.state = wire::TaskState::exited;
         task.cause = "done";
@@ -650,6 +703,8 @@
         continue;
       }
       if (!gang.started) continue;
+      if (gang.told_at && !gang.broken_at) save_gang(gang, tasks, job.spec);
+      if (gang.told_at && !gang.broken_at) continue;
       const bool whole = in_state(wire::TaskState::running) == job.spec.tasks;
       if (whole && loop.now() >= gang.ends_at) {
         for (auto& [worker, task] : tasks) {
@@ -661,12 +716,31 @@
       if (!whole && !gang.broken_at) gang.broken_at = loop.now();
       if (!gang.broken_at) continue;
       for (auto& [worker, task] : tasks)
-        if (task->state == wire::TaskState::running &&
+        if ((task->state == wire::TaskState::running || task->state == wire::TaskState::saving) &&
             seconds_between(*gang.broken_at, loop.now()) >= random(0.3, 1) * options_.config.gang_peer_s)
           change(*worker, *task, wire::TaskState::exited, "mates_gone");
     }
   }
 
+  // All tasks told in time save and end together; one that is missing spoils it.
+  void save_gang(SimGang& gang, std::vector<std::pair<SimWorker*, HeldTask*>>& tasks,
+                 const wire::JobSpec& spec) {
+    const auto saving =
+        static_cast<std::size_t>(std::count_if(tasks.begin(), tasks.end(), [](const auto& each) {
+          return each.second->state == wire::TaskState::saving;
+        }));
+    const double since_s = seconds_between(*gang.told_at, loop.now());
+    if (saving == spec.tasks && since_s >= spec.save_s) {
+      ++gang_saves_;
+      gang.saved = true;
+      for (auto& [worker, task] : tasks) {
+        change(*worker, *task, wire::TaskState::exited, "halted");
+        task->stored = true;
+      }
+    }
+    if (!gang.saved && since_s > options_.config.gang_peer_s) gang.broken_at = loop.now();
+  }
+
   static void change(SimWorker& worker, HeldTask& task, wire::TaskState state, std::string cause) {
     task.state = state;
     task.cause = std::move(cause);
@@ -706,13 +780,21 @@
     for (const auto& task : worker->tasks) {
       Json each{{"piece", wire::spelled(task.ref)}, {"try", task.attempt}, {"stage", spelled(task.state)}};
       if (task.state == wire::TaskState::exited) each["cause"] = task.cause;
+      if (task.stored) each["stored"] = true;
       tasks.push_back(std::move(each));
     }
-    const Json body{
-        {"dyke", worker->id},          {"endpoint", "10.1.0.1:9000"}, {"build", world->cloud_type_.name},
-        {"polder", worker->zone},      {"ebbtide", worker->spot},     {"watch", worker->session},
-        {"tally", ++worker->sequence}, {"warrant", worker->token},    {"warning_s", nullptr},
-        {"pieces", std::move(tasks)}};
+    Json notice = nullptr;
+    if (worker->taken_at > loop.now()) notice = seconds_between(loop.now(), worker->taken_at);
+    const Json body{{"dyke", worker->id},
+                    {"endpoint", world->address(worker->id).text()},
+                    {"build", world->cloud_type_.name},
+                    {"polder", worker->zone},
+                    {"ebbtide", worker->spot},
+                    {"watch", worker->session},
+                    {"tally", ++worker->sequence},
+                    {"warrant", worker->token},
+                    {"warning_s", notice},
+                    {"pieces", std::move(tasks)}};
     constexpr double kPatience = 4;
     std::optional<net::HttpMessage> answer =
         co_await world->exchange(worker->id, host(static_cast<int>(worker->controller)), "POST", "/v1/report",
@@ -755,6 +837,22 @@
     for (const auto& order : content->at("orders")) world->obey(*worker, order);
   }
 
+  // A running task that can save does so if there is time; any other ends at once.
+  void stop_task(HeldTask& task, double leeway_s) {
+    const auto& spec = jobs_.at(task.ref.job.value).spec;
+    if (task.state == wire::TaskState::exited) return;
+    if (task.state == wire::TaskState::saving && leeway_s > 0) return;
+    const bool saves =
+        task.state == wire::TaskState::running && spec.checkpoint_s > 0 && leeway_s >= spec.save_s;
+    if (saves && is_gang(task)) {
+      auto& gang = gangs_.at({task.ref.job.value, task.attempt});
+      if (!gang.told_at) gang.told_at = loop.now();
+    }
+    task.state = saves ? wire::TaskState::saving : wire::TaskState::exited;
+    if (saves) task.ends_at = loop.now() + net::seconds(spec.save_s);
+    if (!saves) task.cause = "halted";
+  }
+
   void obey(SimWorker& worker, const Json& order) {
     const std::string verb = order.at("verb");
     const auto ref = wire::parse_task(order.at("piece").get<std::string>());
@@ -769,9 +867,7 @@
       return;
     }
     if (verb == "kill") {
-      if (held == worker.tasks.end() || held->state == wire::TaskState::exited) return;
-      held->state = wire::TaskState::exited;
-      held->cause = "halted";
+      if (held != worker.tasks.end()) stop_task(*held, order.at("leeway_s").get<double>());
       return;
     }
     if (held != worker.tasks.end()) return;
@@ -1029,6 +1125,8 @@
   std::map<std::string, SimJob> jobs_;
   std::size_t starts_ = 0;
   std::size_t gang_starts_ = 0;
+  std::size_t gang_saves_ = 0;
+  std::size_t direct_orders_ = 0;
   std::map<std::pair<std::string, std::uint64_t>, SimGang> gangs_;  // by job and attempt
   bool calm_ = false;                                               // all troubles are over
   net::TimePoint began_ = loop.now();
