--- /dev/null
+++ b/tests/gang_test.cpp
@@ -0,0 +1,312 @@
+// Gangs in the pure core: what is started when, and what proves that the next attempt may begin.
+#include "cluster_fixture.hpp"
+
+namespace dockdyke::testing {
+
+using wire::ExitCause;
+using wire::TaskState;
+using wire::Verb;
+
+namespace {
+
+wire::JobSpec gang_spec(const std::string& id, TaskIndex tasks, double cpus = 8) {
+  auto spec = job_spec(id, tasks, cpus);
+  spec.shape = wire::Shape::gang;
+  spec.spot_allowed = false;
+  return spec;
+}
+
+}  // namespace
+
+class GangTest : public ClusterTest {
+ protected:
+  using ClusterTest::ClusterTest;
+
+  // Two ordinary machines, each with room for one task of eight CPUs, that wait for their answers.
+  void two_machines() {
+    loaded();
+    one = ready_worker("n-1", "a", false);
+    two = ready_worker("n-2", "a", false);
+  }
+  // A gang of two that runs, one task on each machine.
+  void running_gang() {
+    two_machines();
+    submit(gang_spec("job-1", 2));
+    settle();
+    ASSERT_EQ(count(answer(one), Verb::start), 1u);
+    ASSERT_EQ(count(answer(two), Verb::start), 1u);
+    show(one, TaskState::running);
+    show(two, TaskState::running);
+    exchange(one);
+    exchange(two);
+  }
+  // What the worker shows of its task of the gang's attempt.
+  void show(Worker& worker, TaskState state, ExitCause cause = ExitCause::none, Attempt attempt = 1) {
+    worker.tasks.clear();
+    worker.shows("job-1", index_on(worker), attempt, state, cause);
+  }
+  TaskIndex index_on(const Worker& worker) const { return worker.name == "n-1" ? 0 : 1; }
+
+  Worker one;
+  Worker two;
+};
+
+TEST_F(GangTest, IsPlacedOnlyWhenAllItsTasksFitAtOnce) {
+  two_machines();
+  submit(gang_spec("job-1", 3));
+  settle();
+  EXPECT_EQ(count(answer(one), Verb::start), 0u);
+  EXPECT_EQ(count(answer(two), Verb::start), 0u);
+  EXPECT_TRUE(cluster.job(JobId("job-1"))->placements.empty()) << "no halves are held";
+}
+
+TEST_F(GangTest, HasOneAttemptNumberForAllItsTasks) {
+  two_machines();
+  submit(gang_spec("job-1", 2));
+  settle();
+  const auto first = answer(one);
+  const auto second = answer(two);
+  ASSERT_EQ(count(first, Verb::start), 1u);
+  ASSERT_EQ(count(second, Verb::start), 1u);
+  EXPECT_EQ(first.at(0).attempt, second.at(0).attempt);
+}
+
+TEST_F(GangTest, IsOnRecordWithAllItsMachinesBeforeTheFirstStart) {
+  two_machines();
+  store_answers = false;
+  submit(gang_spec("job-1", 2));
+  settle();
+  const auto save = cluster.next_save(now);
+  ASSERT_TRUE(save);
+  EXPECT_EQ(save->transaction.puts.at(0).key, "gang/job-1/1/0");
+  EXPECT_EQ(cluster.hold(MachineId("n-1")), Hold::save);
+  EXPECT_EQ(count(answer(one), Verb::start), 0u) << "not on record yet";
+  cluster.apply(SaveDone{save->number}, now);
+  EXPECT_EQ(count(answer(two), Verb::start), 1u);
+}
+
+class GangInPartsTest : public GangTest {
+ protected:
+  static Config config_with_small_values() {
+    auto config = cluster_config();
+    config.value_bytes = 256 + 70;  // one machine a part, beside the margin
+    return config;
+  }
+  GangInPartsTest() : GangTest(config_with_small_values()) {}
+};
+
+TEST_F(GangInPartsTest, NothingStartsBeforeTheLastPartIsStored) {
+  two_machines();
+  store_answers = false;
+  submit(gang_spec("job-1", 2));
+  settle();
+  const auto first = cluster.next_save(now);
+  const auto second = cluster.next_save(now);
+  ASSERT_TRUE(first && second);
+  cluster.apply(SaveDone{second->number}, now);
+  EXPECT_EQ(count(answer(one), Verb::start), 0u);
+  report_only(one);
+  cluster.apply(SaveDone{first->number}, now);
+  EXPECT_EQ(count(answer(one), Verb::start), 1u);
+}
+
+TEST_F(GangTest, AnIncompleteRecordMeansThatNothingWasStartedAndItsNumberIsBurned) {
+  cluster.apply(JobLoaded{job_record(gang_spec("job-1", 2)), Revision(40), false}, now);
+  GangPart earlier{
+      JobId("job-1"), 3, 0, 1, {{0, 3, MachineId("n-7"), false}, {1, 3, MachineId("n-8"), false}}};
+  GangPart half{JobId("job-1"), 4, 0, 2, {{0, 4, MachineId("n-7"), false}}};
+  cluster.apply(GangPartLoaded{"gang/job-1/3/0", earlier}, now);
+  cluster.apply(GangPartLoaded{"gang/job-1/4/0", half}, now);
+  two_machines();
+  settle();
+  const auto orders = answer(one);
+  ASSERT_EQ(count(orders, Verb::start), 1u);
+  EXPECT_EQ(orders.at(0).attempt, 5u);
+}
+
+TEST_F(GangTest, ANewLeaderKeepsTheAttemptOnRecordUntilItsTasksAreProvedGone) {
+  cluster.apply(JobLoaded{job_record(gang_spec("job-1", 2)), Revision(40), false}, now);
+  GangPart part{JobId("job-1"), 3, 0, 1, {{0, 3, MachineId("n-1"), false}, {1, 3, MachineId("n-2"), false}}};
+  cluster.apply(GangPartLoaded{"gang/job-1/3/0", part}, now);
+  loaded();
+  one = Worker{"n-1", "a", false};
+  two = Worker{"n-2", "a", false};
+  Worker free{"n-3", "a", false};
+  Worker free_too{"n-4", "a", false};
+  for (auto* worker : {&one, &two, &free, &free_too}) exchange(*worker);
+  // n-1 has shown our token and lacks the task; n-2 still has it, and is told to stop.
+  report_only(one);
+  show(two, TaskState::running, ExitCause::none, 3);
+  report_only(two);
+  report_only(free);
+  report_only(free_too);
+  EXPECT_EQ(count(answer(free), Verb::start) + count(answer(free_too), Verb::start), 0u);
+  EXPECT_EQ(count(answer(two), Verb::stop), 1u);
+  show(two, TaskState::exited, ExitCause::stopped, 3);
+  report_only(two);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->gang.number, 4u) << "the next attempt, once all are gone";
+}
+
+TEST_F(GangTest, RecordsOfEarlierAttemptsAndOfJobsThatAreOverAreRemoved) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::peer_lost);
+  show(two, TaskState::exited, ExitCause::peer_lost);
+  exchange(one);
+  report_only(two);
+  report_only(one);
+  pass(4);
+  std::vector<std::string> removed;
+  for (const auto& each : seen<Discard>()) removed.insert(removed.end(), each.keys.begin(), each.keys.end());
+  EXPECT_NE(std::find(removed.begin(), removed.end(), "gang/job-1/1/0"), removed.end());
+  EXPECT_EQ(std::find(removed.begin(), removed.end(), "gang/job-1/2/0"), removed.end());
+}
+
+TEST_F(GangTest, ATaskThatIsGoneStopsTheOthersAndTheNextAttemptWaitsForAll) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::peer_lost);
+  exchange(one);
+  one.tasks.clear();
+  report_only(one);
+  EXPECT_EQ(count(answer(one), Verb::start), 0u) << "the other task is not proved gone";
+  const auto orders = exchange(two);
+  ASSERT_EQ(count(orders, Verb::stop), 1u);
+  EXPECT_EQ(orders.at(0).grace_s, 0);
+  show(two, TaskState::exited, ExitCause::stopped);
+  report_only(one);
+  report_only(two);
+  const auto again = answer(one);
+  ASSERT_EQ(count(again, Verb::start), 1u);
+  EXPECT_EQ(again.at(0).attempt, 2u);
+}
+
+TEST_F(GangTest, OneTaskDoneMeansThatAllAreAndNoneIsForgottenBeforeThatIsOnRecord) {
+  running_gang();
+  store_answers = false;
+  show(one, TaskState::exited, ExitCause::done);
+  report_only(one);
+  EXPECT_EQ(count(answer(one), Verb::forget), 0u);
+  const auto save = cluster.next_save(now);
+  ASSERT_TRUE(save);
+  ASSERT_EQ(save->finals, std::vector<JobId>{JobId("job-1")});
+  EXPECT_EQ(save->transaction.puts.at(0).value.at("done"), 2);
+  show(two, TaskState::exited, ExitCause::done);
+  report_only(two);
+  EXPECT_EQ(count(answer(two), Verb::forget), 0u);
+  cluster.apply(SaveDone{save->number}, now);
+  EXPECT_EQ(cluster.job(JobId("job-1")), nullptr);
+  EXPECT_EQ(count(exchange(one), Verb::forget), 1u);
+  EXPECT_EQ(count(exchange(two), Verb::forget), 1u);
+}
+
+TEST_F(GangTest, AGangThatIsDoneIsNeverStartedAgainAlsoWhereATaskWasLost) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::done);
+  exchange(one);
+  two.tasks.clear();  // it lost its task instead of showing it done
+  exchange(two);
+  one.tasks.clear();
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(count(exchange(one), Verb::start), 0u);
+    EXPECT_EQ(count(exchange(two), Verb::start), 0u);
+  }
+  EXPECT_EQ(cluster.jobs(), 0u);
+}
+
+TEST_F(GangTest, AFailureCountsOnceAndLostPeersBlameNobody) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::error);
+  show(two, TaskState::exited, ExitCause::error);
+  exchange(one);
+  exchange(two);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->failures, 1u);
+  EXPECT_EQ(cluster.machine(MachineId("n-1"))->failed_jobs.size(), 1u);
+  EXPECT_TRUE(cluster.machine(MachineId("n-2"))->failed_jobs.empty());
+}
+
+TEST_F(GangTest, LostPeersBlameNeitherMachineNorJob) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::peer_lost);
+  show(two, TaskState::exited, ExitCause::gang_incomplete);
+  exchange(one);
+  exchange(two);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->failures, 0u);
+  EXPECT_TRUE(cluster.machine(MachineId("n-1"))->failed_jobs.empty());
+  EXPECT_TRUE(cluster.machine(MachineId("n-2"))->failed_jobs.empty());
+}
+
+TEST_F(GangTest, AnUnknownStateProvesNothingGone) {
+  running_gang();
+  show(one, TaskState::unknown);
+  exchange(one);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->placements.size(), 2u);
+  EXPECT_EQ(count(exchange(two), Verb::stop), 0u);
+}
+
+TEST_F(GangTest, IsGivenUpWellBeforeItsTasksWouldWhenAMachineDoesNotTakeItsStart) {
+  two_machines();
+  submit(gang_spec("job-1", 2));
+  settle();
+  answer(one);
+  answer(two);
+  show(one, TaskState::waiting);
+  const double began = now;
+  while (now - began < cluster_config().gang_wait_s && cluster.job(JobId("job-1"))->placements.size() == 2) {
+    exchange(one);  // n-2 is silent
+    pass(1);
+    const auto orders = exchange(one);
+    if (count(orders, Verb::stop) > 0) break;
+  }
+  EXPECT_LT(now - began, 0.7 * cluster_config().gang_wait_s);
+}
+
+TEST_F(GangTest, IsRentedForAsAWholeInOneZone) {
+  loaded();
+  auto spec = gang_spec("job-1", 3);
+  spec.one_zone = true;
+  submit(spec);
+  pass(6);
+  std::map<std::string, std::uint64_t> rented;
+  for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
+  ASSERT_EQ(rented.size(), 1u);
+  EXPECT_EQ(rented.begin()->second, 3u);
+}
+
+TEST_F(GangTest, IsRentedForInAnotherZoneAfterARefusal) {
+  loaded();
+  auto spec = gang_spec("job-1", 3);
+  spec.one_zone = true;
+  submit(spec);
+  pass(6);
+  const auto first = seen<Rent>();
+  ASSERT_FALSE(first.empty());
+  for (const auto& rent : first) cluster.apply(RentRefused{rent.rental.id}, now);
+  effects.clear();
+  pass(3);
+  const auto again = seen<Rent>();
+  ASSERT_FALSE(again.empty());
+  EXPECT_NE(again.at(0).rental.zone, first.at(0).rental.zone);
+}
+
+TEST_F(GangTest, BoundToOneZoneIsNotPlacedAcrossTwo) {
+  loaded();
+  one = ready_worker("n-1", "a", false);
+  two = ready_worker("n-2", "b", false);
+  auto spec = gang_spec("job-1", 2);
+  spec.one_zone = true;
+  submit(spec);
+  settle();
+  EXPECT_EQ(count(answer(one), Verb::start) + count(answer(two), Verb::start), 0u);
+}
+
+TEST_F(GangTest, CountsAgainstItsTeamsLimitAsAWhole) {
+  auto config = cluster_config();
+  config.teams[0].limit.cpus = 12;
+  cluster = Cluster(config, Token(kToken), 0, 0);
+  cluster.apply(TypesChanged{{small_type()}}, now);
+  two_machines();
+  submit(gang_spec("job-1", 2));
+  settle();
+  EXPECT_EQ(count(answer(one), Verb::start) + count(answer(two), Verb::start), 0u);
+}
+
+}  // namespace dockdyke::testing
