--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -115,13 +115,18 @@
 }
 
 void Cluster::give_back(std::vector<MachineId> ids, Time) {
-  for (std::size_t first = 0; first < ids.size(); first += limits::kMaxDelete) {
-    const auto end = std::min(ids.size(), first + limits::kMaxDelete);
+  // As many names as one deletion and one value take.
+  constexpr std::size_t kAroundNames = 32;
+  constexpr std::size_t kAroundName = 3;
+  for (std::size_t next = 0; next < ids.size();) {
     GiveBack effect{
         key::kReturnPrefix + std::to_string(token_.value) + "-" + std::to_string(next_return_++), {}, false};
-    for (auto i = first; i < end; ++i) {
-      machines_.at(ids[i]).returning = true;
-      effect.machines.push_back(ids[i]);
+    std::size_t bytes = kAroundNames;
+    while (next < ids.size() && effect.machines.size() < limits::kMaxDelete) {
+      bytes += ids[next].value.size() + kAroundName;
+      if (bytes > config_.value_bytes && !effect.machines.empty()) break;
+      machines_.at(ids[next]).returning = true;
+      effect.machines.push_back(ids[next++]);
     }
     effects_.emplace_back(std::move(effect));
   }
--- a/tests/fakes.hpp
+++ b/tests/fakes.hpp
@@ -32,8 +32,19 @@
   return target.substr(at, target.find('&', at) - at);
 }
 
+// What the service takes; requests beyond the rate get 429, anything larger 400.
+struct FakeStateLimits {
+  std::size_t value_bytes = 4096;
+  std::size_t txn_ops = 8;
+  double writes_per_second = 500;
+};
+
 class FakeState {
  public:
+  FakeStateLimits limits;
+  std::size_t too_large = 0;  // requests answered 400 for their size
+  std::size_t over_rate = 0;  // and 429
+
   struct Entry {
     Json value;
     std::uint64_t version;
@@ -57,6 +68,7 @@
     for (const auto& [id, lease] : leases_)
       if (lease.until < now) ended.push_back(id);
     for (const auto id : ended) end_lease(id);
+    rated_ = true;
   }
   // After an outage every lease has its full time again.
   void outage_over() {
@@ -110,7 +122,35 @@
     leases_.erase(id);
   }
 
+  // Without a clock (see `pass`) there is no rate.
+  bool within_rate(std::size_t writes) {
+    if (!rated_) return true;
+    const double passed_s = std::chrono::duration<double>(now_ - filled_at_).count();
+    budget_ = std::min(limits.writes_per_second, budget_ + passed_s * limits.writes_per_second);
+    filled_at_ = now_;
+    if (budget_ < static_cast<double>(writes)) return false;
+    budget_ -= static_cast<double>(writes);
+    return true;
+  }
+
+  bool takes(const Json& txn) const {
+    constexpr std::size_t kGuardsPerChange = 4;
+    if (txn["apply"].size() > limits.txn_ops || txn["guards"].size() > kGuardsPerChange * limits.txn_ops)
+      return false;
+    return std::all_of(txn["apply"].begin(), txn["apply"].end(), [&](const Json& change) {
+      return !change.contains("value") || change["value"].dump().size() <= limits.value_bytes;
+    });
+  }
+
   net::HttpMessage transact(const Json& txn) {
+    if (!takes(txn)) {
+      ++too_large;
+      return reply(400, {{"error", "too large"}});
+    }
+    if (!within_rate(txn["apply"].size())) {
+      ++over_rate;
+      return reply(429, Json::object());
+    }
     for (const auto& change : txn["apply"])
       if (change.contains("tenure") && !leases_.contains(change["tenure"].get<std::uint64_t>()))
         return reply(400, {{"error", "no such lease"}});
@@ -159,6 +199,9 @@
 
   std::map<std::uint64_t, Lease> leases_;
   net::TimePoint now_;
+  bool rated_ = false;
+  double budget_ = 0;
+  net::TimePoint filled_at_;
   std::uint64_t next_lease_ = 0;
   std::vector<Json> log_;
 };
--- a/tests/random_test.cpp
+++ b/tests/random_test.cpp
@@ -11,6 +11,8 @@
 core::Config random_config() {
   auto config = cluster_config();
   config.teams[1].limit.cpus = 16;
+  config.value_bytes = 1024;  // the lower ones, put in force at some moment
+  config.txn_ops = 3;
   return config;
 }
 
@@ -106,12 +108,16 @@
 
 TEST_P(RandomTest, TroublesBreakNoRuleAndAllIsServedInTheEnd) {
   SCOPED_TRACE("seed " + std::to_string(GetParam()));
-  World world({.seed = GetParam(), .config = random_config()});
+  World world({.seed = GetParam(),
+               .config = random_config(),
+               .writes_per_second = 60,
+               .writes_per_second_later = 40});
   if (GetParam() % 2 == 0) world.lost_target = peer::kCancelledPath;  // nothing may rest on that word
   Storm storm(world);
   for (int step = 0; step < 40 && !HasFailure(); ++step) {
     if (step < 25) storm.submit_something();
     if (step >= 4 && step % 2 == 0) storm.make_trouble();
+    if (step == 18) world.lower_limits();
     world.run(world.random(1, 6));
   }
   if (HasFailure()) return;
@@ -119,6 +125,7 @@
   world.expect_answered_lately();
   world.expect_all_served(300);  // a team at its limit has work for so long
   world.expect_nothing_left(60);
+  EXPECT_EQ(world.store.too_large, 0u) << "written by the lower limits from the beginning";
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RandomTest, ::testing::Range<std::uint64_t>(1, seeds() + 1));
--- /dev/null
+++ b/tests/store_limits_test.cpp
@@ -0,0 +1,257 @@
+// The state service's limits, now and after they were lowered without notice.
+#include <set>
+
+#include "cluster_fixture.hpp"
+#include "constants.hpp"
+#include "fakes.hpp"
+#include "store/state_client.hpp"
+#include "world.hpp"
+
+namespace dockdyke::testing {
+
+namespace {
+
+constexpr std::size_t kLeastBytes = static_cast<std::size_t>(limits::kLeastValueKb * 1024);
+constexpr std::size_t kLeastOps = static_cast<std::size_t>(limits::kLeastTxnOps);
+
+Config lowest_limits() {
+  auto config = cluster_config();
+  config.value_bytes = kLeastBytes;
+  config.txn_ops = kLeastOps;
+  config.max_machines = 400;
+  return config;
+}
+
+// The leader's guard comes on top of what the core asks for.
+void expect_fits(const wire::Transaction& txn) {
+  EXPECT_LE(txn.puts.size() + txn.removals.size(), kLeastOps);
+  EXPECT_LE(txn.guards.size() + 1, limits::kGuardsPerChange * kLeastOps);
+  for (const auto& put : txn.puts) EXPECT_LE(put.value.dump().size(), kLeastBytes) << put.key;
+}
+
+}  // namespace
+
+class LowestLimitsTest : public ClusterTest {
+ protected:
+  LowestLimitsTest() : ClusterTest(lowest_limits()) {}
+};
+
+TEST_F(LowestLimitsTest, NothingThatALeaderWritesNeedsMore) {
+  loaded();
+  std::vector<Worker> workers;
+  for (int i = 0; i < 60; ++i) workers.push_back(ready_worker("n-" + std::to_string(100000 + i), "a", false));
+  for (int i = 0; i < 20; ++i) submit(job_spec("job-" + std::to_string(i), 2, 4));
+  auto gang = job_spec("job-100", 80, 4);
+  gang.shape = wire::Shape::gang;
+  submit(gang);
+  for (auto& worker : workers) report_only(worker);
+  settle();
+  for (auto& worker : workers) {
+    for (const auto& order : answer(worker))
+      if (order.verb == wire::Verb::start)
+        worker.shows(order.task.job.value, order.task.index, order.attempt, wire::TaskState::exited,
+                     wire::ExitCause::done);
+  }
+  for (auto& worker : workers) exchange(worker);
+  pass(60);  // idle machines go back
+  std::set<std::string> kinds;
+  for (const auto& save : saves) {
+    expect_fits(save.transaction);
+    for (const auto& put : save.transaction.puts) kinds.insert(put.key.substr(0, put.key.find('/')));
+  }
+  EXPECT_EQ(kinds, (std::set<std::string>{"gang", "over", "page"}));
+  const auto returns = seen<GiveBack>();
+  ASSERT_FALSE(returns.empty());
+  std::size_t given_back = 0;
+  for (const auto& each : returns) {
+    given_back += each.machines.size();
+    EXPECT_LE(wire::machine_names(each.machines).dump().size(), kLeastBytes);
+  }
+  EXPECT_GE(given_back, 50u);
+  for (const auto& each : seen<Rent>()) EXPECT_LE(wire::to_json(each.rental).dump().size(), kLeastBytes);
+}
+
+TEST(LowestLimits, ACancellationNeedsNoMoreAlsoOfALargeRecordWrittenBefore) {
+  auto record = job_record(job_spec("job-1", 5));
+  record.spec.machine_types.emplace();
+  for (int i = 0; i < 200; ++i) record.spec.machine_types->push_back("type-" + std::to_string(i));
+  record.spec.image = std::string(200, 'i');
+  record.spec.one_zone = true;
+  ASSERT_GT(to_json(record).dump().size(), kLeastBytes);
+  const auto txn = cancellation(record, Revision(5), 2, 1234, kLeastBytes);
+  expect_fits(txn);
+  const auto copy = parse_job_record(txn.puts.at(1).value);
+  EXPECT_EQ(copy.spec.team, record.spec.team);
+  EXPECT_EQ(copy.spec.each.cpus, record.spec.each.cpus);
+  EXPECT_TRUE(copy.spec.one_zone);
+  EXPECT_EQ(copy.cancelled_ms, 1234);
+}
+
+TEST_F(LowestLimitsTest, APageThatIsRefusedAllTheSameIsWrittenInSmallerOnes) {
+  loaded();
+  std::vector<Worker> workers;
+  for (int i = 0; i < 60; ++i) workers.push_back(ready_worker("n-" + std::to_string(100000 + i)));
+  store_answers = false;
+  submit(job_spec("job-1", 60, 8));
+  settle();
+  now += 10;
+  std::size_t last = 0;
+  std::set<TaskIndex> stored;
+  for (int round = 0; round < 40; ++round, now += 10) {
+    const auto save = cluster.next_save(now);
+    if (!save) break;
+    const std::size_t size = save->transaction.puts.at(0).value.dump().size();
+    if (size > 350) {
+      if (last != 0) {
+        EXPECT_LT(size, last);
+      }
+      last = size;
+      cluster.apply(SaveRejected{save->number}, now);
+      continue;
+    }
+    const PageRecord page = parse_page(save->transaction.puts.at(0).value);
+    for (const auto& task : page.at(JobId("job-1"))) stored.insert(task.index);
+    cluster.apply(SaveDone{save->number}, now);
+  }
+  EXPECT_GT(last, 0u);
+  EXPECT_EQ(stored.size(), 60u);
+}
+
+TEST_F(LowestLimitsTest, EndsThatAreRefusedTogetherAreRecordedOneByOne) {
+  cluster = Cluster(cluster_config(), Token(kToken), 0, 0);
+  for (int i = 0; i < 3; ++i) inherit(job_spec("job-" + std::to_string(i), 1), {{0, 1, {}, true}});
+  loaded();
+  const auto together = cluster.next_save(now);
+  ASSERT_TRUE(together);
+  ASSERT_EQ(together->finals.size(), 3u);
+  cluster.apply(SaveRejected{together->number}, now);
+  std::set<JobId> recorded;
+  while (const auto save = cluster.next_save(now)) {
+    EXPECT_LT(save->finals.size(), 3u);
+    recorded.insert(save->finals.begin(), save->finals.end());
+    cluster.apply(SaveDone{save->number}, now);
+  }
+  EXPECT_EQ(recorded.size(), 3u);
+}
+
+TEST_F(LowestLimitsTest, AGangsRecordThatIsRefusedIsWrittenInSmallerPartsUnderTheNextNumber) {
+  loaded();
+  std::vector<Worker> workers;
+  for (int i = 0; i < 30; ++i) workers.push_back(ready_worker("n-" + std::to_string(100000 + i)));
+  store_answers = false;
+  auto gang = job_spec("job-1", 30, 8);
+  gang.shape = wire::Shape::gang;
+  submit(gang);
+  settle();
+  const auto first = cluster.next_save(now);
+  ASSERT_TRUE(first);
+  cluster.apply(SaveRejected{first->number}, now);
+  settle();
+  for (auto& worker : workers) report_only(worker);
+  settle();
+  const auto second = cluster.next_save(now);
+  ASSERT_TRUE(second);
+  EXPECT_TRUE(second->transaction.puts.at(0).key.starts_with("gang/job-1/2/"));
+  EXPECT_LT(second->transaction.puts.at(0).value.dump().size(),
+            first->transaction.puts.at(0).value.dump().size());
+}
+
+// ---- The rate of writes -----------------------------------------------------------------------------------
+
+class WriteRateTest : public ::testing::Test {
+ protected:
+  // Answers every call with the status that is set.
+  class Service : public net::Transport {
+   public:
+    explicit Service(net::Loop& loop) : loop_(loop) {}
+    net::Task<net::CallResult> call(net::Address, std::string, std::string, std::string,
+                                    net::Duration) override {
+      co_await loop_.sleep(net::seconds(0.001));
+      net::CallResult result;
+      result.response = reply(status, {{"ledger", 5}});
+      co_return result;
+    }
+    int status = 200;
+
+   private:
+    net::Loop& loop_;
+  };
+
+  WriteRateTest() {
+    client.on_write_limit_seen([this] { ++seen; });
+  }
+
+  void write(int times) {
+    for (int i = 0; i < times; ++i) {
+      net::spawn(write_once());
+      run(0.05);
+    }
+  }
+  net::Task<void> write_once() {
+    wire::Transaction txn;
+    txn.removals.push_back("a");
+    co_await client.commit(txn, store::Urgency::normal, loop.now() + net::seconds(1));
+  }
+  void run(double s) {
+    const auto end = loop.now() + net::seconds(s);
+    while (loop.now() < end) loop.turn(end - loop.now());
+  }
+
+  net::Loop loop{net::Loop::Time::simulated};
+  Service service{loop};
+  store::StateClient client{loop, service, net::Address{1, 1}, {1000, 20, 15}};
+  int seen = 0;
+};
+
+TEST_F(WriteRateTest, IsLoweredForGoodOnceTheServiceHasShownTheLowerLimit) {
+  service.status = 429;
+  write(limits::kRateRefusals);
+  EXPECT_TRUE(client.write_limit_lowered());
+  EXPECT_EQ(client.write_limit(), 15);
+  EXPECT_EQ(seen, 1);
+  service.status = 200;
+  write(100);
+  run(600);
+  EXPECT_EQ(client.write_limit(), 15);
+  EXPECT_EQ(seen, 1);
+}
+
+TEST_F(WriteRateTest, StaysForRefusalsThatAreFewOrFarApart) {
+  service.status = 429;
+  for (int i = 0; i < 10; ++i) {
+    write(limits::kRateRefusals - 1);
+    run(limits::kRateRefusalWindow + 1);
+  }
+  EXPECT_FALSE(client.write_limit_lowered());
+  EXPECT_EQ(client.write_limit(), 20);
+}
+
+TEST_F(WriteRateTest, StaysWhereNoLowerLimitWasAnnounced) {
+  store::StateClient unannounced{loop, service, net::Address{1, 1}, {1000, 20, 20}};
+  unannounced.lower_write_limit();
+  EXPECT_FALSE(unannounced.write_limit_lowered());
+  EXPECT_EQ(unannounced.write_limit(), 20);
+}
+
+TEST(LoweredLimits, AreMetInTheMiddleOfWorkAndAllIsServed) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    SCOPED_TRACE(seed);
+    auto config = cluster_config();
+    config.value_bytes = kLeastBytes;
+    config.txn_ops = kLeastOps;
+    World world({.seed = seed, .config = config, .writes_per_second = 40, .writes_per_second_later = 25});
+    for (int i = 0; i < 40; ++i) {
+      auto spec = job_spec("job-" + std::to_string(i), 3, 1);
+      spec.estimate_s = 10;
+      if (i % 4 == 0) spec.shape = wire::Shape::gang;
+      world.submit(spec, i % 5 == 0 ? std::optional<double>(15) : std::nullopt);
+      world.run(0.4);
+      if (i == 20) world.lower_limits();
+    }
+    world.expect_all_served(200);
+    world.expect_nothing_left(60);
+    EXPECT_EQ(world.store.too_large, 0u);
+  }
+}
+
+}  // namespace dockdyke::testing
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -38,6 +38,8 @@
     std::uint64_t seed = 1;
     int controllers = 3;
     core::Config config = cluster_config();
+    double writes_per_second = 500;
+    double writes_per_second_later = 0;  // announced; 0: nothing is
   };
 
   struct Trouble {
@@ -111,6 +113,7 @@
     const char* level = std::getenv("LOG_LEVEL");
     spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
     cloud_type_.boot_s = 6;
+    store.limits.writes_per_second = options_.writes_per_second;
     for (int i = 0; i < options_.controllers; ++i) start_controller(i);
     net::spawn(keep_store_time(this));
   }
@@ -154,6 +157,13 @@
   void trouble(std::string from, std::string to, Link link, double for_s, double share = 1) {
     troubles_.push_back({std::move(from), std::move(to), link, loop.now() + net::seconds(for_s), share});
   }
+  // The store puts the announced limits in force, without notice.
+  void lower_limits() {
+    spdlog::debug("world t={:.1f} store lowers its limits", time());
+    store.limits = {
+        options_.config.value_bytes, options_.config.txn_ops,
+        options_.writes_per_second_later > 0 ? options_.writes_per_second_later : options_.writes_per_second};
+  }
   void outage(double for_s) {
     spdlog::debug("world t={:.1f} store out for {:.1f}", time(), for_s);
     trouble("", "store", Link::refuse, for_s);
@@ -345,7 +355,8 @@
     for (int i = 0; i < options_.controllers; ++i)
       if (i != number) settings.siblings.push_back({host(i), address(host(i))});
     settings.state_rps = 1000;
-    settings.state_write_rps = 500;
+    settings.state_write_rps = options_.writes_per_second;
+    settings.state_write_rps_later = options_.writes_per_second_later;
     settings.cluster = options_.config;
     const std::size_t process = ++processes_;
     transports_.push_back(std::make_unique<Transport>(*this, settings.host, process));
