--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -278,7 +278,7 @@
   void page_confirmed(PageNumber number);
   void page_rejected(PageNumber number);
   // The transaction needs no repeating; returns the jobs whose end it was to record.
-  std::vector<JobId> save_ended(std::uint64_t number);
+  std::vector<JobId> save_ended(std::uint64_t number, const std::vector<std::string>& failed);
   void end_on_record(const JobId& id, Time now);
   void entry_dead(PageNumber number);
   void forget_entries(const Job& job);
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -65,6 +65,8 @@
     save.urgent = true;
     const std::string key = key::gang_part(part.job, part.attempt, part.part);
     save.transaction.guards.push_back({key, Revision(0)});
+    // A copy that the store carries out late finds the job over, and leaves nothing behind.
+    save.transaction.guards.push_back({key::open(part.job), job.version});
     save.transaction.puts.push_back({key, to_json(part), {}});
     InFlight in_flight;
     in_flight.gang = StoredGang{job.serial, part.attempt};
@@ -82,12 +84,11 @@
   // The records of earlier attempts are needed no more: all their tasks were gone before this one was made.
   const std::string present =
       key::kGangPrefix + job.spec.id.value + "/" + std::to_string(stored.attempt) + "/";
-  auto& keys = job.gang.keys;
-  const auto earlier = std::stable_partition(keys.begin(), keys.end(),
-                                             [&](const auto& key) { return key.starts_with(present); });
-  if (earlier == keys.end()) return;
-  discard(std::vector<std::string>(earlier, keys.end()));
-  keys.erase(earlier, keys.end());
+  // They stay in the list, since a late copy may bring them back; with the job's end all are removed.
+  std::vector<std::string> earlier;
+  for (const auto& key : job.gang.keys)
+    if (!key.starts_with(present)) earlier.push_back(key);
+  if (!earlier.empty()) discard(std::move(earlier));
 }
 
 void Cluster::gang_part_rejected(const StoredGang& stored) {
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -206,14 +206,17 @@
   effects_.emplace_back(Discard{std::move(keys)});
 }
 
-std::vector<JobId> Cluster::save_ended(std::uint64_t number) {
+std::vector<JobId> Cluster::save_ended(std::uint64_t number, const std::vector<std::string>& failed) {
   auto save = saves_.find(number);
   if (save == saves_.end()) return {};
   const InFlight in_flight = std::move(save->second);
   saves_.erase(save);
   // A page in conflict exists: an earlier try wrote it whose answer got lost. Nobody else uses its key.
   if (in_flight.page != 0) page_confirmed(in_flight.page);
-  if (in_flight.gang) gang_part_confirmed(*in_flight.gang);
+  // The same goes for a gang's part, unless its job is no longer open: then nothing was written.
+  const bool job_over = std::any_of(failed.begin(), failed.end(),
+                                    [](const auto& key) { return key.starts_with(key::kOpenPrefix); });
+  if (in_flight.gang && !job_over) gang_part_confirmed(*in_flight.gang);
   return in_flight.finals;
 }
 
@@ -225,7 +228,7 @@
 }
 
 void Cluster::on(const SaveDone& command, Time now) {
-  for (const auto& id : save_ended(command.number)) end_on_record(id, now);
+  for (const auto& id : save_ended(command.number, {})) end_on_record(id, now);
 }
 
 void Cluster::page_rejected(PageNumber number) {
@@ -265,7 +268,7 @@
 }
 
 void Cluster::on(const SaveConflict& command, Time now) {
-  for (const auto& id : save_ended(command.number)) {
+  for (const auto& id : save_ended(command.number, command.failed)) {
     const bool off_record =
         std::find(command.failed.begin(), command.failed.end(), key::open(id)) != command.failed.end();
     if (off_record) {
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -168,6 +168,21 @@
   EXPECT_EQ(std::find(removed.begin(), removed.end(), "gang/job-1/2/0"), removed.end());
 }
 
+TEST_F(GangTest, APartThatIsStoredAfterItsJobWasCancelledDoesNotCount) {
+  two_machines();
+  store_answers = false;
+  submit(gang_spec("job-1", 2));
+  settle();
+  const auto save = cluster.next_save(now);
+  ASSERT_TRUE(save);
+  const auto& guards = save->transaction.guards;
+  ASSERT_TRUE(std::any_of(guards.begin(), guards.end(), [](const auto& each) {
+    return each.key == "open/job-1";
+  })) << "a copy that is carried out late must find the job open";
+  cluster.apply(SaveConflict{save->number, {"open/job-1"}}, now);
+  EXPECT_EQ(count(answer(one), Verb::start), 0u);
+}
+
 TEST_F(GangTest, ATaskThatIsGoneStopsTheOthersAndTheNextAttemptWaitsForAll) {
   running_gang();
   show(one, TaskState::exited, ExitCause::peer_lost);
@@ -250,23 +265,56 @@
   EXPECT_EQ(count(exchange(two), Verb::stop), 0u);
 }
 
-TEST_F(GangTest, IsGivenUpWellBeforeItsTasksWouldWhenAMachineDoesNotTakeItsStart) {
+class GangWithLongLeasesTest : public GangTest {
+ protected:
+  static Config config_with_long_leases() {
+    auto config = cluster_config();
+    config.lease_s = 45;  // beyond `gang_wait_s`: no lease ends in time
+    config.cancel_s = 75;
+    return config;
+  }
+  GangWithLongLeasesTest() : GangTest(config_with_long_leases()) {}
+};
+
+TEST_F(GangWithLongLeasesTest, IsGivenUpWellBeforeItsTasksWouldWhenAMachineDoesNotTakeItsStart) {
   two_machines();
   submit(gang_spec("job-1", 2));
   settle();
   answer(one);
-  answer(two);
+  answer(two);  // and is silent from now on
   show(one, TaskState::waiting);
   const double began = now;
-  while (now - began < cluster_config().gang_wait_s && cluster.job(JobId("job-1"))->placements.size() == 2) {
-    exchange(one);  // n-2 is silent
+  bool stopped = false;
+  while (!stopped && now - began < cluster_config().gang_wait_s) {
     pass(1);
-    const auto orders = exchange(one);
-    if (count(orders, Verb::stop) > 0) break;
+    stopped = count(exchange(one), Verb::stop) > 0;
   }
+  EXPECT_TRUE(stopped);
   EXPECT_LT(now - began, 0.7 * cluster_config().gang_wait_s);
 }
 
+TEST_F(GangTest, IsRentedForWhereAllOfItCanBeHadAlsoWhenAnotherZoneHasRoomForSome) {
+  loaded();
+  auto spec = gang_spec("job-1", 3);
+  spec.one_zone = true;
+  submit(spec);
+  pass(3);
+  const auto refused = seen<Rent>();
+  ASSERT_FALSE(refused.empty());
+  const std::string zone = refused.at(0).rental.zone;
+  for (const auto& rent : refused) cluster.apply(RentRefused{rent.rental.id}, now);
+  effects.clear();
+  one = ready_worker("n-1", zone, false);
+  for (int i = 0; i < 3; ++i) {
+    exchange(one);
+    pass(1);
+  }
+  std::map<std::string, std::uint64_t> rented;
+  for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
+  EXPECT_EQ(rented[zone], 0u);
+  EXPECT_EQ(rented[zone == "a" ? "b" : "a"], 3u);
+}
+
 TEST_F(GangTest, IsRentedForAsAWholeInOneZone) {
   loaded();
   auto spec = gang_spec("job-1", 3);
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -274,13 +274,15 @@
     const bool gone = run_until(
         [&] {
           return std::none_of(store.keys.begin(), store.keys.end(), [](const auto& each) {
-            return each.first.starts_with("open/") || each.first.starts_with("linger/");
+            return each.first.starts_with("open/") || each.first.starts_with("linger/") ||
+                   each.first.starts_with("gang/");
           });
         },
         within_s);
     if (::testing::Test::HasFailure() || gone) return;
     for (const auto& [key, entry] : store.keys)
-      if (key.starts_with("open/") || key.starts_with("linger/")) ADD_FAILURE() << "left: " << key;
+      if (key.starts_with("open/") || key.starts_with("linger/") || key.starts_with("gang/"))
+        ADD_FAILURE() << "left: " << key;
   }
   std::string unfinished() const {
     std::string out;
