--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -353,12 +353,8 @@
 // machines is given up: a start needs one report period, and one that got lost a second.
 inline constexpr double kGangAssembleShare = 0.5;
 inline constexpr double kGangAssembleReports = 4.0;
-// Seconds between searches for places for one gang; each looks at all machines.
-inline constexpr double kGangTryEvery = 0.1;
-// Steps (s) in which the times until machines could start a task are told apart, and what each further machine
-// counts as, since one more may be late or get lost.
-inline constexpr double kGangStartStep = 0.25;
-inline constexpr double kGangMachineCost = 0.25;
+// Share of a report round for which a gang waits until enough machines can be answered at the same moment.
+inline constexpr double kGangOpenShare = 0.5;
 // Seconds a gang waits before room is kept for it, for how long that is at the most (most tasks end within
 // it, and no other job waits 90 s for room), and for how long no room is kept after that.
 inline constexpr double kGangKeepAfter = 6.0;
--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -735,6 +735,7 @@
   }
   ranking_stale_ = true;
   find_scarce_types(now);
+  place_gangs_anywhere(now);
   keep_room_for_gang(now);
   hold_reserve(now);
   if (now - preempted_at_ >= limits::kPreemptEvery) {
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -316,8 +316,8 @@
   // Places for all tasks of the gang on these machines; none where not all fit.
   std::vector<GangPlace> gang_places(const Job& job, const std::vector<Machine*>& machines, Time now);
   bool place_gang(Job& job, const std::vector<Machine*>& machines, Time now);
-  // Seconds until the machine can be sent a start.
-  double answer_due_s(const Machine& machine, Time now) const;
+  // Also on machines that do not wait for an answer at the moment.
+  void place_gangs_anywhere(Time now);
   std::vector<Machine*> accepting_machines(Time now);
   // The machine's room is kept for a gang that is not this job.
   static bool kept_from(const Job& job, const Machine& machine, Time now);
@@ -443,7 +443,6 @@
   Ranking ranking_;
   Time ranked_at_ = 0;
   bool ranking_stale_ = true;
-  bool gangs_in_line_ = false;
   std::set<std::size_t> scarce_;
   std::size_t open_tier_ = 0;  // the tiers up to this one have room enough for all that waits
   Estimates estimates_;
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -224,13 +224,14 @@
 
 struct Candidate {
   Machine* machine = nullptr;
-  double start_s = 0;  // until a task could run there
+  double fetch_s = 0;
   double cost = 0;
   std::size_t fits = 0;
 };
 
-// How good a set of places is: when the slowest machine is ready, and then what its other costs are.
-using Quality = std::pair<double, double>;
+// How good a set of places is: the gang starts when the slowest fetch is over, and the fewer machines it
+// needs to hear from the sooner.
+using Quality = std::tuple<double, std::size_t, double>;
 
 struct Choice {
   std::vector<GangPlace> places;
@@ -242,8 +243,7 @@
                              std::size_t most_per_zone) {
   std::sort(candidates.begin(), candidates.end(), [&](const Candidate& a, const Candidate& b) {
     const auto rank = [&](const Candidate& each) {
-      return std::tuple(std::floor(each.start_s / limits::kGangStartStep),
-                        -static_cast<double>(std::min(each.fits, tasks)), each.cost);
+      return std::tuple(each.fetch_s, -static_cast<double>(std::min(each.fits, tasks)), each.cost);
     };
     return std::pair(rank(a), a.machine->id) < std::pair(rank(b), b.machine->id);
   });
@@ -257,12 +257,11 @@
     if (count == 0) continue;
     there += count;
     tasks -= count;
-    slowest = std::max(slowest, each.start_s);
+    slowest = std::max(slowest, each.fetch_s);
     cost += each.cost;
     choice.places.push_back({each.machine, count});
     if (tasks > 0) continue;
-    choice.quality = {slowest + limits::kGangMachineCost * static_cast<double>(choice.places.size() - 1),
-                      cost};
+    choice.quality = {slowest, choice.places.size(), cost};
     return choice;
   }
   return std::nullopt;
@@ -283,13 +282,12 @@
     if (kept_from(job, *machine, now)) continue;
     const auto cost = cost_of(job, *machine, largest);
     if (!cost) continue;
-    Candidate candidate{machine, answer_due_s(*machine, now), *cost,
-                        tasks_fitting(job.spec.each, room(*machine))};
+    Candidate candidate{machine, 0, *cost, tasks_fitting(job.spec.each, room(*machine))};
     if (!machine->has_image(job.spec.image))
-      candidate.start_s +=
+      candidate.fetch_s =
           job.spec.image_gb / std::max(limits::kLeastFetch, type_of(*machine)->fetch_gb_per_s);
     // All go at the pace of the slowest.
-    candidate.start_s += limits::kSlowSignWeight * machine->slow_signs;
+    candidate.fetch_s += limits::kSlowSignWeight * machine->slow_signs;
     groups[job.spec.one_zone ? machine->zone : std::string()].push_back(candidate);
   }
   std::optional<Choice> best;
@@ -300,11 +298,6 @@
   return best ? std::move(best->places) : std::vector<GangPlace>{};
 }
 
-double Cluster::answer_due_s(const Machine& machine, Time now) const {
-  if (machine.answer_open) return 0;
-  return std::max(limits::kGangStartStep, machine.last_report + config_.report_s - now);
-}
-
 bool Cluster::place_gang(Job& job, const std::vector<Machine*>& machines, Time now) {
   if (job.failed_on.size() >= limits::kSuspectMachines) job.failed_on.clear();
   const auto places = gang_places(job, machines, now);
@@ -348,6 +341,17 @@
   return out;
 }
 
+void Cluster::place_gangs_anywhere(Time now) {
+  std::optional<std::vector<Machine*>> machines;
+  for (const auto& ranked : ranking(now)) {
+    Job& job = *ranked.job;
+    if (!job.is_gang() || job.waiting() == 0 || now < job.not_before) continue;
+    if (now - job.waiting_since < limits::kGangOpenShare * report_round_s()) continue;
+    if (!machines) machines = accepting_machines(now);
+    place_gang(job, *machines, now);
+  }
+}
+
 bool Cluster::kept_from(const Job& job, const Machine& machine, Time now) {
   if (machine.reserved && !job.is_gang() && now - job.waiting_since < limits::kReservePatience) return true;
   return machine.kept_for != 0 && machine.kept_for != job.serial;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -108,7 +108,6 @@
   ranking_stale_ = false;
   ranked_at_ = now;
   ranking_.clear();
-  gangs_in_line_ = false;
   std::vector<Job*> unfinished;
   for (auto& [id, job] : jobs_)
     if (!job.cancelled && !job.complete()) unfinished.push_back(&job);
@@ -135,7 +134,6 @@
     if (job->waiting() == 0) continue;
     Ranked each;
     each.job = job;
-    gangs_in_line_ = gangs_in_line_ || job->is_gang();
     each.guaranteed = guaranteed_.contains(job->spec.id);
     each.starving = starving(*job, now);
     const auto goals = goals_s(*job);
@@ -392,34 +390,24 @@
             std::max(most.memory_gb, free.memory_gb)};
     open.push_back(machine);
   }
-  if (open.empty() && !gangs_in_line_) {
+  if (open.empty()) {
     place_wanted_ = ranking_stale_;
     return;
   }
-  std::optional<std::vector<Machine*>> for_gangs;  // worked out when the first gang needs it
-  bool try_gangs_again = false;
   // First those that find their image there, and those that can't wait for one; then whoever is next.
   for (const bool any_image : {false, true}) {
     for (const auto& ranked : line) {
       Job& job = *ranked.job;
       ++looks_;
       if (job.waiting() == 0 || now < job.not_before) continue;
-      if (job.is_gang()) {
-        // Its machines need not wait for an answer: what counts is how soon the last of them can start.
-        if (any_image) continue;
-        const bool tried = now - job.gang.tried_at < limits::kGangTryEvery;
-        try_gangs_again = try_gangs_again || tried;
-        if (tried) continue;
-        job.gang.tried_at = now;
-        if (!for_gangs) for_gangs = accepting_machines(now);
-        if (place_gang(job, *for_gangs, now))
-          std::erase_if(open, [&](const Machine* each) { return !least.fits_into(room(*each)); });
-        continue;
-      }
       bool fits = false;
-      for (std::size_t i = 0; i < types_.size() && !fits && !open.empty(); ++i)
+      for (std::size_t i = 0; i < types_.size() && !fits; ++i)
         fits = job.suits_type(i) && job.spec.each.fits_into(most_free[i]);
       if (!fits) continue;
+      if (job.is_gang()) {
+        if (!any_image) place_gang(job, open, now);
+        continue;
+      }
       const bool takes_any = any_image || ranked.hasty || now - job.waiting_since >= limits::kImagePatience;
       const std::size_t given = place_job(ranked, open, takes_any, limits::kPlacePerBatch - placed, now);
       placed += given;
@@ -430,7 +418,7 @@
       }
     }
   }
-  place_wanted_ = ranking_stale_ || try_gangs_again;  // some job is not in line yet
+  place_wanted_ = ranking_stale_;  // some job is not in line yet
 }
 
 bool Cluster::may_stop(const Ranked& claimant, const Job& victim) const {
