--- a/src/core/cluster.cpp
+++ b/src/core/cluster.cpp
@@ -456,6 +456,7 @@
       // Reports arrive from it, but nothing that we answer. This report is newer than the one whose answer
       // carried the start, so the task is not there and can go elsewhere.
       release(*task.job, task.index, now);
+      drop_if_gone(*task.job, now);
     }
   }
 }
@@ -674,8 +675,11 @@
     if (silent(machine, now)) withdraw_unsent(machine, now);
     if (!lease_over(machine, now)) continue;
     const auto placements = machine.placements;
-    for (const auto& task : placements)
-      if (!task.job->cancelled) release(*task.job, task.index, now);
+    for (const auto& task : placements) {
+      if (task.job->cancelled) continue;
+      release(*task.job, task.index, now);
+      drop_if_gone(*task.job, now);  // a gang that is done may have been waiting for this proof
+    }
   }
 }
 
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -227,6 +227,20 @@
   EXPECT_EQ(cluster.jobs(), 0u);
 }
 
+// The books kept such a job, and its record, for as long as the leader lived.
+TEST_F(GangTest, AGangThatIsDoneIsOffTheBooksOnceTheLeaseOfItsSilentMachineIsOver) {
+  running_gang();
+  show(one, TaskState::exited, ExitCause::done);
+  exchange(one);
+  one.tasks.clear();
+  ASSERT_EQ(cluster.jobs(), 1u);
+  for (int i = 0; i < cluster_config().lease_s + 4; ++i) {
+    exchange(one);
+    pass(1);
+  }
+  EXPECT_EQ(cluster.jobs(), 0u);
+}
+
 TEST_F(GangTest, AFailureCountsOnceAndLostPeersBlameNobody) {
   running_gang();
   show(one, TaskState::exited, ExitCause::error);
