--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -187,6 +187,7 @@
   while (!polls_.empty()) {
     const auto waiting = std::exchange(polls_, {});
     std::vector<JobId> ids;
+    ids.reserve(waiting.size());
     for (const auto& each : waiting) ids.push_back(each.id);
     std::optional<std::vector<peer::PolledJob>> polled = co_await listener_.ask_leader(ids);
     // Jobs the leader can't tell of are looked up here: the store may refuse the leader alone.
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -17,13 +17,13 @@
 
 // ---- HTTP -------------------------------------------------------------------------------------------------
 // Bytes of request line and headers; ours and the platform's are under 1 KiB.
-inline constexpr std::size_t kMaxHead = 8 * 1024;
+inline constexpr std::size_t kMaxHead = 8ull * 1024;
 // Bytes of a request body, from PROTOCOL.
-inline constexpr std::size_t kMaxRequestBody = 64 * 1024;
+inline constexpr std::size_t kMaxRequestBody = 64ull * 1024;
 // Bytes of a response body taken from state service or cloud; watches have no stated limit, memory does.
-inline constexpr std::size_t kMaxResponseBody = 8 * 1024 * 1024;
+inline constexpr std::size_t kMaxResponseBody = 8ull * 1024 * 1024;
 // Bytes read from a socket in one call.
-inline constexpr std::size_t kReadChunk = 16 * 1024;
+inline constexpr std::size_t kReadChunk = 16ull * 1024;
 // Connections waiting to be accepted.
 inline constexpr int kListenBacklog = 256;
 // A connection may sit idle this long; users poll every 5 s, workers report every few seconds.
@@ -360,13 +360,13 @@
 inline constexpr double kGangKeepAfter = 6.0;
 inline constexpr double kGangKeep = 50.0;
 inline constexpr double kGangKeepRest = 30.0;
-// Seconds that a gang's tasks get to save beyond what they say they need, since the tasks told first wait for the
-// others; and seconds that a worker has to take a direct order, and between two tries.
+// Seconds that a gang's tasks get to save beyond what they say they need, since the tasks told first wait for
+// the others; and seconds that a worker has to take a direct order, and between two tries.
 inline constexpr double kGangSaveMargin = 2.0;
 inline constexpr double kDirectOrderTimeout = 1.5;
 inline constexpr double kDirectOrderRetry = 0.5;
-// Seconds within which a class wants its tasks started for room to be held for its gangs; any more and machines
-// can be rented when they come.
+// Seconds within which a class wants its tasks started for room to be held for its gangs; any more and
+// machines can be rented when they come.
 inline constexpr double kQuickStart = 20.0;
 // Seconds for which gangs that came are remembered as a sign that more will come.
 inline constexpr double kReserveMemory = 120.0;
@@ -388,6 +388,6 @@
 
 // ---- Settings ---------------------------------------------------------------------------------------------
 // Bytes of a settings file; a real one has a few KiB.
-inline constexpr std::size_t kMaxSettings = 4 * 1024 * 1024;
+inline constexpr std::size_t kMaxSettings = 4ull * 1024 * 1024;
 
 }  // namespace dockdyke::limits
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -374,6 +374,18 @@
   bool may_stop(const Ranked& claimant, const Job& victim) const;
   wire::Resources room(const Machine& machine) const;
   bool nearly_done(const Job& job, const Placement& placement, Time now) const;
+  // Room that is or will be there for jobs ahead in line.
+  using ClaimedRoom = std::map<const Machine*, wire::Resources>;
+  struct Chance;
+  // Tasks on the machine that may be stopped for the claimant, by what that costs.
+  std::vector<std::pair<double, PlacedTask>> victims_on(const Ranked& claimant, const Machine& machine,
+                                                        Time now) const;
+  std::optional<Chance> find_chance(const Ranked& claimant, Machine& machine, wire::Resources free,
+                                    std::size_t wanted, Time now) const;
+  wire::Resources room_after_stops(const Machine& machine) const;
+  // Stops lesser work for one waiting job.
+  void make_room_for(const Ranked& claimant, const std::vector<Machine*>& open, ClaimedRoom& claimed,
+                     Time now);
   void make_room(Time now);
   void give_place(Job& job, Machine& machine, Time now);
   std::vector<double> goals_s(const Job& job) const;
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -337,7 +337,7 @@
 std::vector<Machine*> Cluster::accepting_machines(Time now) {
   std::vector<Machine*> out;
   for (auto& [id, machine] : machines_)
-    if (type_of(machine) && accepts(machine, now)) out.push_back(&machine);
+    if (accepts(machine, now)) out.push_back(&machine);
   return out;
 }
 
--- a/src/net/task.hpp
+++ b/src/net/task.hpp
@@ -98,7 +98,7 @@
 
 // A coroutine nobody awaits: it starts at once and frees itself at its end.
 struct Detached {
-  struct promise_type {
+  struct promise_type {  // NOLINT(readability-identifier-naming): the language asks for this name
     Detached get_return_object() noexcept { return {}; }
     std::suspend_never initial_suspend() noexcept { return {}; }
     std::suspend_never final_suspend() noexcept { return {}; }
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -131,7 +131,7 @@
 }
 
 net::Task<void> tell_cancelled(net::Transport& transport, net::Address sibling, JobId job) {
-  const std::vector<std::string> jobs(1, std::move(job.value));
+  const std::vector<std::string> jobs{job.value};
   co_await ask(transport, sibling, kCancelledPath, encode(jobs), limits::kPeerTimeout);
 }
 
--- a/src/store/state_client.cpp
+++ b/src/store/state_client.cpp
@@ -104,8 +104,7 @@
   reply.outcome = outcome_of(result.response->status);
   constexpr int kOverLimit = 429;  // a sign of life, if no help
   reply.over_limit = result.response->status == kOverLimit;
-  note(reply.over_limit ||
-       (reply.outcome != Outcome::refused && reply.outcome != Outcome::unknown));
+  note(reply.over_limit || (reply.outcome != Outcome::refused && reply.outcome != Outcome::unknown));
   if (!result.response->body.empty()) {
     auto body_value = wire::decode(result.response->body);
     if (body_value) {
--- a/src/store/state_client.hpp
+++ b/src/store/state_client.hpp
@@ -53,9 +53,9 @@
   // The shares of the limits this controller may use in its present role.
   void set_shares(double requests, double writes);
 
-  // Keeps to the announced lower limit of writes from now on. Called by the client itself when the service shows
-  // that it is in force, and for what another controller has seen. It is never raised again: a try would have
-  // the writes of all controllers refused.
+  // Keeps to the announced lower limit of writes from now on. Called by the client itself when the service
+  // shows that it is in force, and for what another controller has seen. It is never raised again: a try
+  // would have the writes of all controllers refused.
   void lower_write_limit();
   bool write_limit_lowered() const { return write_limit_lowered_; }
   double write_limit() const { return limits_.writes_per_second; }
