--- a/src/core/gang_reserve.cpp
+++ b/src/core/gang_reserve.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "constants.hpp"
@@ -28,4 +30,12 @@
   return out;
 }
 
+std::size_t GangReserve::images_on(const Machine& machine) const {
+  std::set<std::string> found;
+  for (const auto& [job_class, arrivals] : arrivals_)
+    for (const auto& arrival : arrivals)
+      if (machine.has_image(arrival.spec.image)) found.insert(arrival.spec.image);
+  return found.size();
+}
+
 }  // namespace dockdyke::core
--- a/src/core/gang_reserve.hpp
+++ b/src/core/gang_reserve.hpp
@@ -27,6 +27,8 @@
   void note_arrival(const wire::JobSpec& spec, Time now);
   // By class; `window_s` is the time in which more machines could be had.
   std::vector<Wanted> wanted(double window_s, Time now);
+  // How many of the images that came lately the machine has.
+  std::size_t images_on(const Machine& machine) const;
 
  private:
   struct Arrival {
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -381,20 +381,23 @@
   for (const auto& wanted : reserve_wanted_) {
     if (wanted.largest.spot_allowed) continue;  // other work may use the same machines at no loss
     const Job gang = model_gang(wanted.largest);
-    std::vector<std::pair<std::size_t, Machine*>> rooms;
+    // Those that have most images first: a fetch alone may take longer than a quick start.
+    using Rank = std::pair<std::size_t, std::size_t>;  // images, and tasks that fit
+    std::vector<std::pair<Rank, Machine*>> rooms;
     for (Machine* machine : machines) {
       if (machine->reserved || !allowed_on(gang, machine->type_number, machine->zone, machine->spot))
         continue;
-      if (const auto fits = tasks_fitting(gang.spec.each, room(*machine)); fits > 0)
-        rooms.emplace_back(fits, machine);
+      const auto fits = tasks_fitting(gang.spec.each, room(*machine));
+      const auto images = reserve_.images_on(*machine);
+      if (fits > 0) rooms.emplace_back(Rank(images, fits), machine);
     }
     std::stable_sort(rooms.begin(), rooms.end(),
                      [](const auto& a, const auto& b) { return a.first > b.first; });
     std::size_t missing = wanted.gangs * gang.spec.tasks;
-    for (const auto& [fits, machine] : rooms) {
+    for (const auto& [rank, machine] : rooms) {
       if (missing == 0) break;
       machine->reserved = true;
-      missing -= std::min(missing, fits);
+      missing -= std::min(missing, rank.second);
     }
   }
 }
--- /dev/null
+++ b/tests/gang_reserve_test.cpp
@@ -0,0 +1,88 @@
+// Room that is held for gangs to come.
+#include "core/gang_reserve.hpp"
+
+#include "cluster_fixture.hpp"
+#include "constants.hpp"
+
+namespace dockdyke::testing {
+
+using wire::Verb;
+
+namespace {
+
+wire::JobSpec gang_spec(const std::string& id, TaskIndex tasks = 2) {
+  auto spec = job_spec(id, tasks, 4);
+  spec.shape = wire::Shape::gang;
+  spec.spot_allowed = false;
+  spec.job_class = "quick";
+  return spec;
+}
+
+Config quick_class() {
+  auto config = cluster_config();
+  config.objectives = {{Objective::Kind::wait, "quick", 5, 1}};
+  return config;
+}
+
+}  // namespace
+
+TEST(GangReserve, GrowsWithTheRootOfWhatCameAndEndsWhenNothingComes) {
+  GangReserve reserve;
+  EXPECT_TRUE(reserve.wanted(40, 0).empty());
+  for (int i = 0; i < 9; ++i) reserve.note_arrival(gang_spec("job-1", i == 4 ? 6 : 2), 100 + i);
+  const auto wanted = reserve.wanted(40, 110);
+  ASSERT_EQ(wanted.size(), 1u);
+  EXPECT_EQ(wanted[0].gangs, 3u);
+  EXPECT_EQ(wanted[0].largest.tasks, 6u);
+  EXPECT_EQ(reserve.wanted(40, 200).at(0).gangs, 1u) << "none within the window, some within memory";
+  EXPECT_TRUE(reserve.wanted(40, 109 + limits::kReserveMemory).empty());
+}
+
+class GangReserveTest : public ClusterTest {
+ protected:
+  GangReserveTest() : ClusterTest(quick_class()) {}
+};
+
+TEST_F(GangReserveTest, RoomIsRentedForTheNextGangOnceOneHasCome) {
+  loaded();
+  auto one = ready_worker("n-1", "a", false);
+  submit(gang_spec("job-1"));
+  settle();
+  ASSERT_EQ(count(answer(one), Verb::start), 2u);
+  pass(2);
+  std::uint64_t rented = 0;
+  for (const auto& rent : seen<Rent>()) rented += rent.rental.count;
+  EXPECT_EQ(rented, 1u);
+}
+
+TEST_F(GangReserveTest, OtherWorkStaysOffItForAWhileAndNotForLonger) {
+  loaded();
+  auto one = ready_worker("n-1", "a", false);
+  auto two = ready_worker("n-2", "a", false);
+  submit(gang_spec("job-1"));
+  settle();
+  for (auto* worker : {&one, &two})
+    for (const auto& order : answer(*worker))
+      worker->shows(order.task.job.value, order.task.index, order.attempt, wire::TaskState::running);
+  pass(1);
+  auto other = job_spec("job-2", 8, 4);
+  submit(other);
+  const auto starts_of_other = [&] {
+    std::size_t starts = 0;
+    for (auto* worker : {&one, &two})
+      for (const auto& order : exchange(*worker))
+        starts += order.verb == Verb::start && order.task.job == other.id;
+    return starts;
+  };
+  const double began = now;
+  std::size_t early = 0;
+  std::size_t late = 0;
+  while (now - began < limits::kReservePatience + 15) {
+    pass(1);
+    (now - began < limits::kReservePatience ? early : late) += starts_of_other();
+  }
+  EXPECT_EQ(early, 0u);
+  EXPECT_GT(late, 0u) << "nobody waits for ever beside held room";
+}
+
+}  // namespace dockdyke::testing
