--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -1,8 +1,8 @@
-// Stories in which two troubles meet, played in simulated time against whole controllers. The world checks
-// every rule of PROTOCOL throughout; a story only has to bring its meeting about.
+// Stories in which two troubles meet, played in simulated time against whole controllers. The simulation
+// checks every rule of PROTOCOL throughout; a story only has to bring its meeting about.
 #include <gtest/gtest.h>
 
-#include "world.hpp"
+#include "simulation.hpp"
 
 namespace dockdyke::testing {
 
@@ -15,17 +15,17 @@
   return spec;
 }
 
-bool all_running(World& world, const std::string& id) {
-  return world.tasks_on_machines(id) == world.job(id).spec.tasks;
+bool all_running(Simulation& simulation, const std::string& id) {
+  return simulation.tasks_on_machines(id) == simulation.job(id).spec.tasks;
 }
 
 }  // namespace
 
-TEST(WorldItself, AQuietDayEnds) {
-  World world({.seed = 1});
-  for (int i = 0; i < 6; ++i) world.submit(job_spec("job-" + std::to_string(i), 3));
-  world.expect_all_served(150);
-  EXPECT_EQ(world.starts(), 18u);
+TEST(SimulationItself, AQuietDayEnds) {
+  Simulation simulation({.seed = 1});
+  for (int i = 0; i < 6; ++i) simulation.submit(job_spec("job-" + std::to_string(i), 3));
+  simulation.expect_all_served(150);
+  EXPECT_EQ(simulation.starts(), 18u);
 }
 
 // ---- The first meeting ------------------------------------------------------------------------------------
@@ -49,24 +49,25 @@
   const Gap gap = GetParam();
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     SCOPED_TRACE(seed);
-    World world({.seed = seed});
-    world.lost_target = peer::kCancelledPath;  // nothing may rest on that word
-    for (int i = 0; i < 4; ++i) world.submit(long_job("job-" + std::to_string(i), 2));
-    ASSERT_TRUE(
-        world.run_until([&] { return all_running(world, "job-0") && all_running(world, "job-3"); }, 60));
-    const int leader = *world.leader();
+    Simulation simulation({.seed = seed});
+    simulation.lost_target = peer::kCancelledPath;  // nothing may rest on that word
+    for (int i = 0; i < 4; ++i) simulation.submit(long_job("job-" + std::to_string(i), 2));
+    ASSERT_TRUE(simulation.run_until(
+        [&] { return all_running(simulation, "job-0") && all_running(simulation, "job-3"); }, 60));
+    const int leader = *simulation.leader();
     const int other = (leader + 1) % 3;
-    world.trouble(World::host(leader), "store", Link::refuse, 8);
-    world.run(gap.cancel_after_s);
-    for (int i = 0; i < 3; ++i) world.cancel("job-" + std::to_string(i), other);
-    if (gap.hang) world.hang(*world.workers_of("job-0").at(0), 12);
-    world.run(gap.outage_after_s - gap.cancel_after_s);
-    world.outage(world.config().cancel_s + 15);
-    world.run(world.config().cancel_s + 25);
+    simulation.trouble(Simulation::host(leader), "store", Link::refuse, 8);
+    simulation.run(gap.cancel_after_s);
+    for (int i = 0; i < 3; ++i) simulation.cancel("job-" + std::to_string(i), other);
+    if (gap.hang) simulation.hang(*simulation.workers_of("job-0").at(0), 12);
+    simulation.run(gap.outage_after_s - gap.cancel_after_s);
+    simulation.outage(simulation.config().cancel_s + 15);
+    simulation.run(simulation.config().cancel_s + 25);
     if (HasFailure()) return;
-    EXPECT_TRUE(world.job("job-0").cancelled_at) << "the story needs a confirmation before the outage";
-    EXPECT_EQ(world.tasks_on_machines("job-0"), 0u);
-    EXPECT_TRUE(world.run_until([&] { return all_running(world, "job-3"); }, 60)) << "the work goes on";
+    EXPECT_TRUE(simulation.job("job-0").cancelled_at) << "the story needs a confirmation before the outage";
+    EXPECT_EQ(simulation.tasks_on_machines("job-0"), 0u);
+    EXPECT_TRUE(simulation.run_until([&] { return all_running(simulation, "job-3"); }, 60))
+        << "the work goes on";
   }
 }
 
@@ -78,16 +79,16 @@
                          [](const auto& each) { return each.param.name; });
 
 TEST(LeaderRefusedAlone, IsToldOfCancellationsByWhoeverConfirmsThem) {
-  World world({.seed = 1});
-  world.submit(long_job("job-1", 3));
-  ASSERT_TRUE(world.run_until([&] { return all_running(world, "job-1"); }, 60));
-  const int leader = *world.leader();
-  world.trouble(World::host(leader), "store", Link::refuse, 30);
-  world.run(0.5);
-  world.cancel("job-1", (leader + 1) % 3);
-  ASSERT_TRUE(world.run_until([&] { return world.job("job-1").cancelled_at.has_value(); }, 2));
+  Simulation simulation({.seed = 1});
+  simulation.submit(long_job("job-1", 3));
+  ASSERT_TRUE(simulation.run_until([&] { return all_running(simulation, "job-1"); }, 60));
+  const int leader = *simulation.leader();
+  simulation.trouble(Simulation::host(leader), "store", Link::refuse, 30);
+  simulation.run(0.5);
+  simulation.cancel("job-1", (leader + 1) % 3);
+  ASSERT_TRUE(simulation.run_until([&] { return simulation.job("job-1").cancelled_at.has_value(); }, 2));
   // Its own view is refused, and another can't lead before its lease is over.
-  EXPECT_TRUE(world.run_until([&] { return world.tasks_on_machines("job-1") == 0; }, 2.6));
+  EXPECT_TRUE(simulation.run_until([&] { return simulation.tasks_on_machines("job-1") == 0; }, 2.6));
 }
 
 // ---- The other meetings -----------------------------------------------------------------------------------
@@ -100,51 +101,52 @@
   return config;
 }
 
-void submit_usual_work(World& world) {
+void submit_usual_work(Simulation& simulation) {
   for (int i = 0; i < 4; ++i) {
     auto spec = job_spec("job-" + std::to_string(10 + i), 2 + static_cast<TaskIndex>(i));
     spec.estimate_s = 8 + 9 * i;
-    world.submit(std::move(spec));
+    simulation.submit(std::move(spec));
   }
   auto bound = job_spec("job-20", 4);
   bound.one_zone = true;
-  world.submit(std::move(bound));
+  simulation.submit(std::move(bound));
   auto spread = job_spec("job-21", 5);
   spread.spread = true;
-  world.submit(std::move(spread));
+  simulation.submit(std::move(spread));
   for (int i = 0; i < 3; ++i) {
     auto spec = job_spec("job-" + std::to_string(30 + i), 3);
     spec.team = "other";
     spec.spot_allowed = i != 1;
-    world.submit(std::move(spec));
+    simulation.submit(std::move(spec));
   }
   // Only a cancellation ends these.
-  for (int i = 0; i < 3; ++i) world.submit(long_job("job-" + std::to_string(40 + i), 2));
+  for (int i = 0; i < 3; ++i) simulation.submit(long_job("job-" + std::to_string(40 + i), 2));
 }
 
 // Until the long jobs run everywhere.
-void get_under_way(World& world) {
-  submit_usual_work(world);
-  const bool running = world.run_until(
+void get_under_way(Simulation& simulation) {
+  submit_usual_work(simulation);
+  const bool running = simulation.run_until(
       [&] {
-        return all_running(world, "job-40") && all_running(world, "job-41") && all_running(world, "job-42");
+        return all_running(simulation, "job-40") && all_running(simulation, "job-41") &&
+               all_running(simulation, "job-42");
       },
       90);
   ASSERT_TRUE(running);
 }
 
-void cancel_long_jobs(World& world, std::optional<int> controller = {}) {
-  for (int i = 0; i < 3; ++i) world.cancel("job-" + std::to_string(40 + i), controller);
+void cancel_long_jobs(Simulation& simulation, std::optional<int> controller = {}) {
+  for (int i = 0; i < 3; ++i) simulation.cancel("job-" + std::to_string(40 + i), controller);
 }
 
-int leader_of(World& world) {
-  world.run_until([&] { return world.leader().has_value(); }, 30);
-  return world.leader().value_or(0);
+int leader_of(Simulation& simulation) {
+  simulation.run_until([&] { return simulation.leader().has_value(); }, 30);
+  return simulation.leader().value_or(0);
 }
 
 struct Meeting {
   const char* name;
-  void (*play)(World& world);
+  void (*play)(Simulation& simulation);
 };
 
 void PrintTo(const Meeting& meeting, std::ostream* out) {
@@ -156,264 +158,267 @@
 TEST_P(MeetingTest, KeepsTheRulesAndServesAllInTheEnd) {
   for (std::uint64_t seed = 1; seed <= 2; ++seed) {
     SCOPED_TRACE(seed);
-    World world({.seed = seed, .config = limited_config()});
-    get_under_way(world);
+    Simulation simulation({.seed = seed, .config = limited_config()});
+    get_under_way(simulation);
     if (HasFailure()) return;
-    GetParam().play(world);
+    GetParam().play(simulation);
     if (HasFailure()) return;
-    cancel_long_jobs(world);
-    world.expect_all_served(200);
-    world.expect_nothing_left(60);
+    cancel_long_jobs(simulation);
+    simulation.expect_all_served(200);
+    simulation.expect_nothing_left(60);
     if (HasFailure()) return;
   }
 }
 
 const Meeting kMeetings[] = {
     {"ReportHeldBackUntilANewLeaderHasActed",
-     [](World& world) {
-       const int old_leader = leader_of(world);
+     [](Simulation& simulation) {
+       const int old_leader = leader_of(simulation);
        for (int other = 0; other < 3; ++other)
-         if (other != old_leader) world.trouble("n-", World::host(other), Link::hold, 9, 0.5);
-       world.crash(old_leader, 5);
-       world.run(4);
-       cancel_long_jobs(world);
-       world.run(30);
+         if (other != old_leader) simulation.trouble("n-", Simulation::host(other), Link::hold, 9, 0.5);
+       simulation.crash(old_leader, 5);
+       simulation.run(4);
+       cancel_long_jobs(simulation);
+       simulation.run(30);
      }},
     {"WorkersReachNoController",
-     [](World& world) {
-       auto workers = world.workers_up();
+     [](Simulation& simulation) {
+       auto workers = simulation.workers_up();
        for (std::size_t i = 0; i < workers.size(); i += 2)
-         world.trouble(workers[i]->id, "dyke", Link::lose_request, 30);
-       world.run(3);
-       cancel_long_jobs(world);
-       world.run(40);
+         simulation.trouble(workers[i]->id, "dyke", Link::lose_request, 30);
+       simulation.run(3);
+       cancel_long_jobs(simulation);
+       simulation.run(40);
      }},
     {"MoreWorkThanRoomOverSlowLinks",
-     [](World& world) {
-       world.capacity = 2;
-       world.trouble("", "", Link::slow, 60);
+     [](Simulation& simulation) {
+       simulation.capacity = 2;
+       simulation.trouble("", "", Link::slow, 60);
        for (int i = 0; i < 6; ++i) {
          auto spec = job_spec("job-" + std::to_string(60 + i), 6);
          spec.priority = i % 2 == 0 ? wire::Priority::high : wire::Priority::low;
          spec.estimate_s = 10;
-         world.submit(std::move(spec));
+         simulation.submit(std::move(spec));
        }
-       world.run(20);
-       cancel_long_jobs(world);
-       world.run(40);
+       simulation.run(20);
+       cancel_long_jobs(simulation);
+       simulation.run(40);
      }},
     {"ZoneBoundJobsLoseMachines",
-     [](World& world) {
+     [](Simulation& simulation) {
        for (int i = 0; i < 3; ++i) {
          auto spec = job_spec("job-" + std::to_string(60 + i), 4);
          spec.one_zone = i != 2;
          if (i == 2) spec.zone = "b";
          spec.estimate_s = 20;
-         world.submit(std::move(spec));
+         simulation.submit(std::move(spec));
        }
-       world.run(12);
-       auto workers = world.workers_up();
-       for (std::size_t i = 0; i < workers.size(); i += 2) world.die(*workers[i]);
-       world.crash(leader_of(world), 0.3);
-       world.run(30);
+       simulation.run(12);
+       auto workers = simulation.workers_up();
+       for (std::size_t i = 0; i < workers.size(); i += 2) simulation.die(*workers[i]);
+       simulation.crash(leader_of(simulation), 0.3);
+       simulation.run(30);
      }},
     {"QuestionsMeetTheEndOfAJob",
-     [](World& world) {
+     [](Simulation& simulation) {
        // Called off, asked about and submitted again through all controllers, all around the moment of its
        // end.
        for (int round = 0; round < 12; ++round) {
          const std::string id = "job-" + std::to_string(100 + round);
          auto spec = job_spec(id, 2);
          spec.estimate_s = 4;
-         world.submit(std::move(spec));
-         world.run_until([&] { return world.job(id).completed.size() == 2; }, 60);
-         world.run(world.random(0, 0.4));
-         if (round % 2 == 0) world.cancel(id, round % 3);
-         world.ask_again(id);
-         world.run(0.05);
-         world.ask_again(id);
+         simulation.submit(std::move(spec));
+         simulation.run_until([&] { return simulation.job(id).completed.size() == 2; }, 60);
+         simulation.run(simulation.random(0, 0.4));
+         if (round % 2 == 0) simulation.cancel(id, round % 3);
+         simulation.ask_again(id);
+         simulation.run(0.05);
+         simulation.ask_again(id);
        }
      }},
     {"QuestionsMeetTheEndOfAJobWhoseRecordGetsNoAnswer",
-     [](World& world) {
-       world.trouble("dyke", "store", Link::late_write, 60, 0.4);
+     [](Simulation& simulation) {
+       simulation.trouble("dyke", "store", Link::late_write, 60, 0.4);
        for (int round = 0; round < 8; ++round) {
          const std::string id = "job-" + std::to_string(100 + round);
          auto spec = job_spec(id, 2);
          spec.estimate_s = 4;
-         world.submit(std::move(spec));
-         world.run_until([&] { return world.job(id).completed.size() == 2; }, 60);
-         if (round % 2 == 0) world.cancel(id, round % 3);
-         world.ask_again(id);
-         world.run(0.3);
-         world.ask_again(id);
+         simulation.submit(std::move(spec));
+         simulation.run_until([&] { return simulation.job(id).completed.size() == 2; }, 60);
+         if (round % 2 == 0) simulation.cancel(id, round % 3);
+         simulation.ask_again(id);
+         simulation.run(0.3);
+         simulation.ask_again(id);
        }
      }},
     {"TeamAtItsLimitChangesLeaderWithMachinesOutOfReach",
-     [](World& world) {
+     [](Simulation& simulation) {
        for (int i = 0; i < 3; ++i) {
          auto spec = long_job("job-" + std::to_string(70 + i), 2);
          spec.team = "other";
-         world.submit(std::move(spec));
+         simulation.submit(std::move(spec));
        }
-       world.run_until([&] { return all_running(world, "job-70") && all_running(world, "job-71"); }, 120);
-       for (auto* worker : world.workers_of("job-70"))
-         world.trouble(worker->id, "dyke", Link::lose_request, 25);
-       for (auto* worker : world.workers_of("job-71"))
-         world.trouble(worker->id, "dyke", Link::lose_answer, 25);
-       world.crash(leader_of(world), 2);
-       world.run(1);
-       for (int i = 0; i < 3; ++i) world.cancel("job-" + std::to_string(70 + i));
-       world.run(40);
+       simulation.run_until(
+           [&] { return all_running(simulation, "job-70") && all_running(simulation, "job-71"); }, 120);
+       for (auto* worker : simulation.workers_of("job-70"))
+         simulation.trouble(worker->id, "dyke", Link::lose_request, 25);
+       for (auto* worker : simulation.workers_of("job-71"))
+         simulation.trouble(worker->id, "dyke", Link::lose_answer, 25);
+       simulation.crash(leader_of(simulation), 2);
+       simulation.run(1);
+       for (int i = 0; i < 3; ++i) simulation.cancel("job-" + std::to_string(70 + i));
+       simulation.run(40);
      }},
     {"ZoneWithAControllerIsCutOffForLongerThanALease",
-     [](World& world) {
-       const int leader = leader_of(world);
-       const std::string inside = World::host(leader);
-       for (const char* outside : {"store", "cloud", "dyke"}) world.trouble(inside, outside, Link::hold, 25);
+     [](Simulation& simulation) {
+       const int leader = leader_of(simulation);
+       const std::string inside = Simulation::host(leader);
+       for (const char* outside : {"store", "cloud", "dyke"})
+         simulation.trouble(inside, outside, Link::hold, 25);
        for (int i = 0; i < 3; ++i)
-         if (i != leader) world.trouble(World::host(i), inside, Link::hold, 25);
-       world.trouble("user", inside, Link::hold, 25);
-       for (auto* worker : world.workers_up()) {
+         if (i != leader) simulation.trouble(Simulation::host(i), inside, Link::hold, 25);
+       simulation.trouble("user", inside, Link::hold, 25);
+       for (auto* worker : simulation.workers_up()) {
          if (worker->zone != "a") {
-           world.trouble(worker->id, inside, Link::hold, 25);
+           simulation.trouble(worker->id, inside, Link::hold, 25);
          } else {
            for (int i = 0; i < 3; ++i)
-             if (i != leader) world.trouble(worker->id, World::host(i), Link::hold, 25);
+             if (i != leader) simulation.trouble(worker->id, Simulation::host(i), Link::hold, 25);
          }
        }
-       world.run(8);
-       cancel_long_jobs(world, (leader + 1) % 3);
-       world.run(50);
+       simulation.run(8);
+       cancel_long_jobs(simulation, (leader + 1) % 3);
+       simulation.run(50);
      }},
     {"TransactionsAreCarriedOutLate",
-     [](World& world) {
-       world.trouble("dyke", "store", Link::late_write, 60, 0.3);
+     [](Simulation& simulation) {
+       simulation.trouble("dyke", "store", Link::late_write, 60, 0.3);
        for (int i = 0; i < 8; ++i) {
          auto spec = job_spec("job-" + std::to_string(60 + i), 3);
          spec.estimate_s = 6;
-         world.submit(std::move(spec), i % 3 == 0 ? std::optional<double>(7) : std::nullopt);
-         world.run(4);
+         simulation.submit(std::move(spec), i % 3 == 0 ? std::optional<double>(7) : std::nullopt);
+         simulation.run(4);
        }
-       cancel_long_jobs(world);
-       world.crash(leader_of(world), 1);
-       world.run(25);
+       cancel_long_jobs(simulation);
+       simulation.crash(leader_of(simulation), 1);
+       simulation.run(25);
      }},
     {"AllControllersAreAwayForLongerThanALease",
-     [](World& world) {
-       cancel_long_jobs(world);
-       world.run(0.02);
-       for (int i = 0; i < 3; ++i) world.crash(i, 14);
-       world.run(30);
+     [](Simulation& simulation) {
+       cancel_long_jobs(simulation);
+       simulation.run(0.02);
+       for (int i = 0; i < 3; ++i) simulation.crash(i, 14);
+       simulation.run(30);
      }},
     {"OldReportsArriveAfterNewerOnes",
-     [](World& world) {
-       world.trouble("n-", "dyke", Link::late_copy, 50, 0.4);
-       world.run(5);
-       for (auto* worker : world.workers_of("job-40"))
-         world.trouble(worker->id, "dyke", Link::lose_answer, 14);
-       world.run(5);
-       world.crash(leader_of(world), 1);
-       world.run(15);
-       cancel_long_jobs(world);
-       world.crash(leader_of(world), 1);
-       world.run(30);
+     [](Simulation& simulation) {
+       simulation.trouble("n-", "dyke", Link::late_copy, 50, 0.4);
+       simulation.run(5);
+       for (auto* worker : simulation.workers_of("job-40"))
+         simulation.trouble(worker->id, "dyke", Link::lose_answer, 14);
+       simulation.run(5);
+       simulation.crash(leader_of(simulation), 1);
+       simulation.run(15);
+       cancel_long_jobs(simulation);
+       simulation.crash(leader_of(simulation), 1);
+       simulation.run(30);
      }},
     {"TenLeadersInTwoMinutesAndAnOutage",
-     [](World& world) {
+     [](Simulation& simulation) {
        for (int i = 0; i < 10; ++i) {
-         if (i == 4) world.outage(20);
-         if (i == 6) cancel_long_jobs(world);
-         world.crash(leader_of(world), world.random(0.1, 6));
-         world.run(11);
+         if (i == 4) simulation.outage(20);
+         if (i == 6) cancel_long_jobs(simulation);
+         simulation.crash(leader_of(simulation), simulation.random(0.1, 6));
+         simulation.run(11);
        }
      }},
     {"CommandsAreHeldUpAndMachinesGoOn",
-     [](World& world) {
+     [](Simulation& simulation) {
        for (int i = 0; i < 4; ++i) {
-         auto workers = world.workers_up();
-         for (std::size_t n = 0; n < workers.size(); n += 3) world.hang(*workers[n], world.random(2, 9.5));
-         world.trouble("n-", "dyke", Link::slow, 5);
-         if (i == 1) cancel_long_jobs(world);
-         world.run(8);
+         auto workers = simulation.workers_up();
+         for (std::size_t n = 0; n < workers.size(); n += 3)
+           simulation.hang(*workers[n], simulation.random(2, 9.5));
+         simulation.trouble("n-", "dyke", Link::slow, 5);
+         if (i == 1) cancel_long_jobs(simulation);
+         simulation.run(8);
        }
      }},
     {"CancelledTasksOnMachinesThatHangForLong",
-     [](World& world) {
+     [](Simulation& simulation) {
        // Their leases run out, but until they go on or are deleted the tasks are on them.
-       const auto hung = world.workers_of("job-40");
-       for (auto* worker : hung) world.hang(*worker, world.config().cancel_s + 20);
-       world.run(1);
-       cancel_long_jobs(world);
-       world.run(8);
-       world.crash(leader_of(world), 3);
-       world.cloud_out = true;  // the cloud refuses at first, too
-       world.run(16);
-       world.cloud_out = false;
-       world.run(world.config().cancel_s - 25);
+       const auto hung = simulation.workers_of("job-40");
+       for (auto* worker : hung) simulation.hang(*worker, simulation.config().cancel_s + 20);
+       simulation.run(1);
+       cancel_long_jobs(simulation);
+       simulation.run(8);
+       simulation.crash(leader_of(simulation), 3);
+       simulation.cloud_out = true;  // the cloud refuses at first, too
+       simulation.run(16);
+       simulation.cloud_out = false;
+       simulation.run(simulation.config().cancel_s - 25);
        for (const auto* worker : hung) EXPECT_TRUE(worker->gone_at) << worker->id << " still holds them";
      }},
     {"LeaderEndsWhileMachinesWithLongTasksCantBeReached",
-     [](World& world) {
-       const int old_leader = leader_of(world);
-       for (auto* worker : world.workers_of("job-40"))
-         world.trouble(worker->id, "dyke", Link::lose_request, 9);
-       for (auto* worker : world.workers_of("job-41"))
-         world.trouble(worker->id, "dyke", Link::lose_answer, 30);
-       world.crash(old_leader, 4);
-       world.run(12);
-       cancel_long_jobs(world);
-       world.run(40);
+     [](Simulation& simulation) {
+       const int old_leader = leader_of(simulation);
+       for (auto* worker : simulation.workers_of("job-40"))
+         simulation.trouble(worker->id, "dyke", Link::lose_request, 9);
+       for (auto* worker : simulation.workers_of("job-41"))
+         simulation.trouble(worker->id, "dyke", Link::lose_answer, 30);
+       simulation.crash(old_leader, 4);
+       simulation.run(12);
+       cancel_long_jobs(simulation);
+       simulation.run(40);
      }},
     {"SmallJobsEndFarApartAcrossLeaders",
-     [](World& world) {
+     [](Simulation& simulation) {
        for (int i = 0; i < 5; ++i) {
          auto spec = job_spec("job-" + std::to_string(60 + i), 2 + static_cast<TaskIndex>(i % 2));
          spec.estimate_s = 15 + 10 * i;
-         world.submit(std::move(spec));
+         simulation.submit(std::move(spec));
        }
        for (int i = 0; i < 5; ++i) {
-         world.run(9);
-         world.crash(leader_of(world), i % 2 == 0 ? 0.2 : 5);
+         simulation.run(9);
+         simulation.crash(leader_of(simulation), i % 2 == 0 ? 0.2 : 5);
        }
      }},
     {"SlowStoreThenNoneForLongerThanACancellation",
-     [](World& world) {
-       world.trouble("dyke", "store", Link::slow, 30);
-       world.run(5);
-       const int leader = leader_of(world);
-       world.trouble(World::host(leader), "store", Link::refuse, 10);
-       world.run(1.5);
-       cancel_long_jobs(world);
-       world.run(1.5);
-       world.outage(world.config().cancel_s + 10);
-       world.run(world.config().cancel_s + 12);
+     [](Simulation& simulation) {
+       simulation.trouble("dyke", "store", Link::slow, 30);
+       simulation.run(5);
+       const int leader = leader_of(simulation);
+       simulation.trouble(Simulation::host(leader), "store", Link::refuse, 10);
+       simulation.run(1.5);
+       cancel_long_jobs(simulation);
+       simulation.run(1.5);
+       simulation.outage(simulation.config().cancel_s + 10);
+       simulation.run(simulation.config().cancel_s + 12);
      }},
     {"LeaderKeepsOnlyItsWorkersAndUsers",
-     [](World& world) {
-       const int leader = leader_of(world);
-       world.trouble(World::host(leader), "store", Link::hold, 50);
-       world.trouble(World::host(leader), "dyke", Link::hold, 50);
+     [](Simulation& simulation) {
+       const int leader = leader_of(simulation);
+       simulation.trouble(Simulation::host(leader), "store", Link::hold, 50);
+       simulation.trouble(Simulation::host(leader), "dyke", Link::hold, 50);
        for (int i = 0; i < 3; ++i)
-         if (i != leader) world.trouble(World::host(i), World::host(leader), Link::hold, 50);
-       world.run(5);
-       cancel_long_jobs(world, (leader + 1) % 3);
-       world.run(60);
+         if (i != leader) simulation.trouble(Simulation::host(i), Simulation::host(leader), Link::hold, 50);
+       simulation.run(5);
+       cancel_long_jobs(simulation, (leader + 1) % 3);
+       simulation.run(60);
      }},
     {"HandOverAndBackAndAllEndWithinASecond",
-     [](World& world) {
-       const int leader = leader_of(world);
+     [](Simulation& simulation) {
+       const int leader = leader_of(simulation);
        // It hears no workers and hands on; then it has the lead back, and then all end, within a second.
-       world.trouble("n-", World::host(leader), Link::lose_request, 6);
-       world.run(9);
-       world.crash(leader_of(world), 0.2);
-       world.run(5);
-       cancel_long_jobs(world);
-       world.run(0.1);
-       for (int i = 0; i < 3; ++i) world.crash(i, 0.2 + 0.3 * i);
-       world.run(0.4);
-       world.crash(0, 0.1);
-       world.run(30);
+       simulation.trouble("n-", Simulation::host(leader), Link::lose_request, 6);
+       simulation.run(9);
+       simulation.crash(leader_of(simulation), 0.2);
+       simulation.run(5);
+       cancel_long_jobs(simulation);
+       simulation.run(0.1);
+       for (int i = 0; i < 3; ++i) simulation.crash(i, 0.2 + 0.3 * i);
+       simulation.run(0.4);
+       simulation.crash(0, 0.1);
+       simulation.run(30);
      }},
 };
 
--- a/tests/judgement_test.cpp
+++ b/tests/placement_test.cpp
@@ -8,9 +8,9 @@
 using wire::TaskState;
 using wire::Verb;
 
-class JudgementTest : public ClusterTest {};
+class PlacementTest : public ClusterTest {};
 
-TEST_F(JudgementTest, SpreadJobPutsAtMostHalfIntoAZone) {
+TEST_F(PlacementTest, SpreadJobPutsAtMostHalfIntoAZone) {
   loaded();
   auto first = ready_worker("n-1", "a");
   auto second = ready_worker("n-2", "a");
@@ -22,7 +22,7 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.size(), 3u);
 }
 
-TEST_F(JudgementTest, OneZoneJobStaysWhereItsFirstTaskIs) {
+TEST_F(PlacementTest, OneZoneJobStaysWhereItsFirstTaskIs) {
   loaded();
   auto first = ready_worker("n-1", "a");
   auto far = ready_worker("n-2", "b");
@@ -37,7 +37,7 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.size(), 2u);
 }
 
-TEST_F(JudgementTest, JobThatMayNotUseSpotMachinesWaitsForAnother) {
+TEST_F(PlacementTest, JobThatMayNotUseSpotMachinesWaitsForAnother) {
   loaded();
   auto spot = ready_worker("n-1", "a", true);
   auto spec = job_spec("job-1", 1);
@@ -49,7 +49,7 @@
   EXPECT_FALSE(seen<Rent>()[0].rental.spot);
 }
 
-TEST_F(JudgementTest, UrgentJobGoesFirst) {
+TEST_F(PlacementTest, UrgentJobGoesFirst) {
   loaded();
   submit(job_spec("job-1", 2));
   auto urgent = job_spec("job-2", 2);
@@ -60,7 +60,7 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.size(), 0u);
 }
 
-TEST_F(JudgementTest, WaitingWorkRentsTheCheapestKindAndTriesTheNextWhenRefused) {
+TEST_F(PlacementTest, WaitingWorkRentsTheCheapestKindAndTriesTheNextWhenRefused) {
   loaded();
   submit(job_spec("job-1", 2));
   pass(6);
@@ -89,7 +89,7 @@
   EXPECT_LE(now, 75);
 }
 
-TEST_F(JudgementTest, RentOfAnEarlierLeaderIsAskedAgainUnderItsName) {
+TEST_F(PlacementTest, RentOfAnEarlierLeaderIsAskedAgainUnderItsName) {
   cluster.apply(RentLoaded{{RentId("r-20-1"), "small", "a", true, 2}}, now);
   loaded();
   const auto rents = seen<Rent>();
@@ -102,7 +102,7 @@
   EXPECT_EQ(seen<Rent>().size(), 1u) << "the booting machines are enough";
 }
 
-TEST_F(JudgementTest, NearlyDoneTasksAreWaitedForBeforeRenting) {
+TEST_F(PlacementTest, NearlyDoneTasksAreWaitedForBeforeRenting) {
   loaded();
   auto worker = ready_worker("n-1");
   submit(job_spec("job-1", 2));
@@ -122,7 +122,7 @@
   EXPECT_TRUE(seen<Rent>().empty());
 }
 
-TEST_F(JudgementTest, EmptyMachineGoesBackOnlyAfterAWhile) {
+TEST_F(PlacementTest, EmptyMachineGoesBackOnlyAfterAWhile) {
   loaded();
   auto worker = ready_worker("n-1");
   for (int i = 0; i < 5; ++i) {
@@ -138,7 +138,7 @@
   EXPECT_EQ(seen<GiveBack>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
 }
 
-TEST_F(JudgementTest, LastingWorkOnAnOrdinaryMachineRentsASpotOneAndItsEndStopsThat) {
+TEST_F(PlacementTest, LastingWorkOnAnOrdinaryMachineRentsASpotOneAndItsEndStopsThat) {
   loaded();
   auto worker = ready_worker("n-1", "a", false);
   auto spec = job_spec("job-1", 2);
@@ -164,7 +164,7 @@
   EXPECT_EQ(seen<Rent>().size(), 1u);
 }
 
-TEST_F(JudgementTest, MachineThatNeverBootsIsDeleted) {
+TEST_F(PlacementTest, MachineThatNeverBootsIsDeleted) {
   loaded();
   cluster.apply(MachinesListed{{{MachineId("n-1"), "small", "a", true, wire::MachineStage::booting, 1}}},
                 now);
@@ -174,7 +174,7 @@
   EXPECT_FALSE(seen<GiveBack>().empty());
 }
 
-TEST_F(JudgementTest, MachineThatFailsTasksOfSeveralJobsIsDrainedAndDeleted) {
+TEST_F(PlacementTest, MachineThatFailsTasksOfSeveralJobsIsDrainedAndDeleted) {
   loaded();
   auto worker = ready_worker("n-1");
   submit(job_spec("job-1", 1));
@@ -193,7 +193,7 @@
   EXPECT_EQ(seen<GiveBack>().at(0).machines[0], MachineId("n-1"));
 }
 
-TEST_F(JudgementTest, MachineOnWhichTasksTakeSeveralTimesAsLongAsElsewhereIsLeft) {
+TEST_F(PlacementTest, MachineOnWhichTasksTakeSeveralTimesAsLongAsElsewhereIsLeft) {
   loaded();
   std::vector<Worker> workers{ready_worker("n-1"), ready_worker("n-2"), ready_worker("n-3")};
   submit(job_spec("job-1", 6));
@@ -233,7 +233,7 @@
   EXPECT_EQ(run(80), 0u) << "tasks that do take that long are not moved on for ever";
 }
 
-TEST_F(JudgementTest, JobThatFailsEverywhereSlowsDownAndBlamesNoMachine) {
+TEST_F(PlacementTest, JobThatFailsEverywhereSlowsDownAndBlamesNoMachine) {
   loaded();
   std::vector<Worker> workers;
   for (int i = 1; i <= 4; ++i) workers.push_back(ready_worker("n-" + std::to_string(i)));
@@ -264,7 +264,7 @@
   EXPECT_EQ(draining, 0u);
 }
 
-TEST_F(JudgementTest, NoticeLetsATaskSaveInTimeAndBringsNoNewWork) {
+TEST_F(PlacementTest, NoticeLetsATaskSaveInTimeAndBringsNoNewWork) {
   loaded();
   auto worker = ready_worker("n-1");
   auto spec = job_spec("job-1", 1);
@@ -283,7 +283,7 @@
   EXPECT_EQ(count(orders, Verb::start), 0u);
 }
 
-TEST_F(JudgementTest, LesserWorkIsStoppedWhenAnUrgentJobFindsNoRoom) {
+TEST_F(PlacementTest, LesserWorkIsStoppedWhenAnUrgentJobFindsNoRoom) {
   loaded();
   auto worker = ready_worker("n-1");
   auto low = job_spec("job-1", 2);
@@ -307,7 +307,7 @@
   EXPECT_EQ(stopping, 1u);
 }
 
-TEST_F(JudgementTest, HugeJobIsPlacedInBatchesAndItsPagesFitTheirValues) {
+TEST_F(PlacementTest, HugeJobIsPlacedInBatchesAndItsPagesFitTheirValues) {
   loaded();
   std::vector<Worker> workers;
   for (int i = 0; i < 30; ++i) workers.push_back(ready_worker("n-" + std::to_string(100 + i)));
@@ -327,7 +327,7 @@
 }
 
 // Small tasks strewn over the only machines that hold large ones kept these out for minutes (an incident).
-TEST_F(JudgementTest, SmallTasksLeaveAMachineToTheLargeOneThatNeedsIt) {
+TEST_F(PlacementTest, SmallTasksLeaveAMachineToTheLargeOneThatNeedsIt) {
   auto large = small_type("large", 16, 4.0, 1.2);
   cluster.apply(TypesChanged{{small_type(), large}}, now);
   loaded();
@@ -359,7 +359,7 @@
 }
 
 // A day fails if the largest jobs of a class have not begun within four minutes.
-TEST_F(JudgementTest, JobThatHasNotBegunForLongGoesAheadOfMoreUrgentWork) {
+TEST_F(PlacementTest, JobThatHasNotBegunForLongGoesAheadOfMoreUrgentWork) {
   loaded();
   auto worker = ready_worker("n-1");
   auto large = job_spec("job-1", 40, 8);
@@ -390,7 +390,7 @@
   EXPECT_LE(waited, 120);
 }
 
-TEST_F(JudgementTest, WorkFillsMachinesInUseBeforeAnEmptyOneUnlessItCantWait) {
+TEST_F(PlacementTest, WorkFillsMachinesInUseBeforeAnEmptyOneUnlessItCantWait) {
   loaded();
   auto used = ready_worker("n-1");
   submit(job_spec("job-1", 1));
@@ -415,7 +415,7 @@
 }
 
 // At 1,750 machines passes over the whole fleet took most of the leader's processor.
-TEST_F(JudgementTest, WorkOfAReportDoesNotGrowWithTheFleet) {
+TEST_F(PlacementTest, WorkOfAReportDoesNotGrowWithTheFleet) {
   Cluster large(cluster_config(), Token(kToken), 0, 0);
   large.apply(TypesChanged{{small_type()}}, 0);
   large.apply(LoadDone{}, 0);
@@ -521,7 +521,7 @@
 }
 
 // Two machines full of one job's work, and an urgent job that finds no room.
-class PreemptionTest : public JudgementTest {
+class PreemptionTest : public PlacementTest {
  protected:
   void fill(wire::Priority priority) {
     loaded();
@@ -577,7 +577,7 @@
   EXPECT_EQ(stops_for_urgent(1, false), 2u);
 }
 
-TEST_F(JudgementTest, WorkOfTheLowestPriorityMakesWayFirstWhateverItsLoss) {
+TEST_F(PlacementTest, WorkOfTheLowestPriorityMakesWayFirstWhateverItsLoss) {
   loaded();
   auto worker = ready_worker("n-1");
   auto saving = job_spec("job-1", 1, 4);  // it would lose least
--- a/tests/store_limits_test.cpp
+++ b/tests/store_limits_test.cpp
@@ -4,8 +4,8 @@
 #include "cluster_fixture.hpp"
 #include "constants.hpp"
 #include "fakes.hpp"
+#include "simulation.hpp"
 #include "store/state_client.hpp"
-#include "world.hpp"
 
 namespace dockdyke::testing {
 
@@ -39,7 +39,8 @@
 TEST_F(LowestLimitsTest, NothingThatALeaderWritesNeedsMore) {
   loaded();
   std::vector<Worker> workers;
-  for (int i = 0; i < 110; ++i) workers.push_back(ready_worker("n-" + std::to_string(100000 + i), "a", false));
+  for (int i = 0; i < 110; ++i)
+    workers.push_back(ready_worker("n-" + std::to_string(100000 + i), "a", false));
   for (int i = 0; i < 20; ++i) submit(job_spec("job-" + std::to_string(i), 2, 4));
   auto gang = job_spec("job-100", 80, 4);
   gang.shape = wire::Shape::gang;
@@ -71,6 +72,25 @@
   for (const auto& each : seen<Rent>()) EXPECT_LE(wire::to_json(each.rental).dump().size(), kLeastBytes);
 }
 
+TEST_F(LowestLimitsTest, AReturnOfManyMachinesIsRecordedInSeveralValues) {
+  loaded();
+  std::vector<Worker> workers;
+  for (int i = 0; i < 110; ++i) {
+    workers.push_back(Worker{"n-" + std::to_string(100000 + i), "a", false});
+    exchange(workers.back());
+  }
+  std::size_t given_back = 0;
+  for (int i = 0; i < 30; ++i) {
+    for (auto& worker : workers) exchange(worker);
+    pass(1);
+  }
+  for (const auto& each : seen<GiveBack>()) {
+    given_back += each.machines.size();
+    EXPECT_LE(wire::machine_names(each.machines).dump().size(), kLeastBytes);
+  }
+  EXPECT_EQ(given_back, 110u);
+}
+
 TEST(LowestLimits, ACancellationNeedsNoMoreAlsoOfALargeRecordWrittenBefore) {
   auto record = job_record(job_spec("job-1", 5));
   record.spec.machine_types.emplace();
@@ -239,18 +259,19 @@
     auto config = cluster_config();
     config.value_bytes = kLeastBytes;
     config.txn_ops = kLeastOps;
-    World world({.seed = seed, .config = config, .writes_per_second = 40, .writes_per_second_later = 25});
+    Simulation simulation(
+        {.seed = seed, .config = config, .writes_per_second = 40, .writes_per_second_later = 25});
     for (int i = 0; i < 40; ++i) {
       auto spec = job_spec("job-" + std::to_string(i), 3, 1);
       spec.estimate_s = 10;
       if (i % 4 == 0) spec.shape = wire::Shape::gang;
-      world.submit(spec, i % 5 == 0 ? std::optional<double>(15) : std::nullopt);
-      world.run(0.4);
-      if (i == 20) world.lower_limits();
+      simulation.submit(spec, i % 5 == 0 ? std::optional<double>(15) : std::nullopt);
+      simulation.run(0.4);
+      if (i == 20) simulation.lower_limits();
     }
-    world.expect_all_served(200);
-    world.expect_nothing_left(60);
-    EXPECT_EQ(world.store.too_large, 0u);
+    simulation.expect_all_served(200);
+    simulation.expect_nothing_left(60);
+    EXPECT_EQ(simulation.store.too_large, 0u);
   }
 }
 
