Reports, timers, preemption, loading and writing in files of their own; the field's names for what needed explaining

Moved and renamed only: ReportCounter for Hearing, WakeUp for Bell, PeerStatus for Standing, ReturnMachines for GiveBack, RemoveKeys for Discard, AnswerDelay for Hold, ReportOutcome for ReportFate, WorkerSilence for Silence, LeaderTerm for Term. Stored keys, fields, paths and peer messages are as they were (pinned by tests).

--- a/src/app/frontend.hpp
+++ b/src/app/frontend.hpp
@@ -10,7 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "app/latency.hpp"
+#include "app/latency_histogram.hpp"
 #include "core/cluster.hpp"
 #include "core/records.hpp"
 #include "net/http_server.hpp"
--- a/src/app/term.hpp
+++ b/src/app/leader_term.hpp
@@ -18,7 +18,7 @@
 
 namespace dockdyke::app {
 
-class Term : public std::enable_shared_from_this<Term> {
+class LeaderTerm : public std::enable_shared_from_this<LeaderTerm> {
  public:
   struct Services {
     net::Loop& loop;
@@ -33,8 +33,8 @@
     std::function<void(const JobId&, const wire::JobStatus&)> on_final;
   };
 
-  Term(Services services, const core::Config& config, store::Leadership leadership, net::TimePoint asked_at,
-       Listener listener);
+  LeaderTerm(Services services, const core::Config& config, store::Leadership leadership,
+             net::TimePoint asked_at, Listener listener);
 
   void start(const std::vector<wire::MachineType>& types);
   // Nothing of this term goes on after its present call.
@@ -43,14 +43,14 @@
   Token token() const { return cluster_.token(); }
   void renewed(net::TimePoint asked_at) { renewed_at_ = std::max(renewed_at_, asked_at); }
   // For how long no worker has been heard, and from when on that is odd for the fleet there is.
-  struct Silence {
+  struct WorkerSilence {
     double lasted_s = 0;
     double odd_s = 0;
     std::size_t machines = 0;
     bool heard_before = false;
     bool odd() const { return machines > 0 && lasted_s >= odd_s; }
   };
-  Silence silence() const;
+  WorkerSilence silence() const;
   // Neither the store nor any other controller answers.
   void set_alone(bool alone);
   void push(core::Command command);
@@ -58,10 +58,10 @@
   std::optional<core::Progress> progress(const JobId& id) const { return cluster_.progress(id); }
 
  private:
-  using Self = std::shared_ptr<Term>;
+  using Self = std::shared_ptr<LeaderTerm>;
   struct WaitingReport {
     wire::Report report;
-    net::OneShot<core::ReportFate> fate;
+    net::OneShot<core::ReportOutcome> fate;
   };
 
   // Every loop takes a share of the term, so that the state outlives its last call.
@@ -76,8 +76,8 @@
   // Asks the store whether the job is still open.
   static net::Task<void> look_up(Self self, JobId id);
   static net::Task<void> carry_out(Self self, core::Rent effect);
-  static net::Task<void> carry_out(Self self, core::GiveBack effect);
-  static net::Task<void> carry_out(Self self, core::Discard effect);
+  static net::Task<void> carry_out(Self self, core::ReturnMachines effect);
+  static net::Task<void> carry_out(Self self, core::RemoveKeys effect);
   static net::Task<void> carry_out(Self self, core::DirectStop effect);
 
   // All that a new leader reads, and the revision from which changes are to be watched.
@@ -117,7 +117,7 @@
   core::Cluster cluster_;
   Listener listener_;
   bool alive_ = true;
-  net::Bell work_;
+  net::WakeUp work_;
   std::vector<core::Command> commands_;
   std::vector<WaitingReport> reports_;
   std::map<MachineId, net::OneShot<bool>> held_;  // answers that wait
--- /dev/null
+++ b/src/app/leader_term_writer.cpp
@@ -0,0 +1,210 @@
+// What a leader writes to the state service, and the calls to cloud and workers that follow.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "app/leader_term.hpp"
+#include "constants.hpp"
+
+namespace dockdyke::app {
+
+using store::Outcome;
+using store::Urgency;
+
+// ---- Writing ----------------------------------------------------------------------------------------------
+
+void LeaderTerm::start_saves() {
+  while (saving_ < limits::kSavesInFlight) {
+    auto next = cluster_.next_save(now());
+    if (!next) return;
+    ++saving_;
+    net::spawn(save(shared_from_this(), *std::move(next)));
+  }
+}
+
+net::Task<void> LeaderTerm::save(Self self, core::Save save) {
+  save.transaction.guards.push_back(self->leader_guard());
+  const Urgency urgency = save.urgent ? Urgency::high : Urgency::normal;
+  while (self->alive_) {
+    const auto deadline = self->services_.loop.now() + net::seconds(limits::kBackgroundPatience);
+    store::Result<store::Committed> committed =
+        co_await self->services_.state.commit(save.transaction, urgency, deadline);
+    if (!self->alive_) break;
+    if (committed) {
+      for (const auto& id : save.finals) self->note_final(id);
+      self->push(core::SaveDone{save.number});
+      break;
+    }
+    auto& failed = committed.value.failed_guards;
+    if (committed.outcome == Outcome::conflict) {
+      if (std::find(failed.begin(), failed.end(), store::kLeaderKey) != failed.end()) {
+        self->overtaken();
+      } else {
+        self->push(core::SaveConflict{save.number, std::move(failed)});
+      }
+      break;
+    }
+    if (committed.outcome == Outcome::rejected) {
+      spdlog::error("event=save_rejected number={}", save.number);
+      self->push(core::SaveRejected{save.number});
+      co_await self->services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
+      break;
+    }
+    // Refused, or perhaps applied: the same transaction again, which its guards keep from being applied
+    // twice.
+    co_await self->services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
+  }
+  --self->saving_;
+  self->work_.ring();
+}
+
+void LeaderTerm::note_final(const JobId& id) {
+  const core::Job* job = cluster_.job(id);
+  if (!job) return;
+  spdlog::debug("event=job_done id={} class={} tasks={} estimate={:.0f} submitted={:.1f} took={:.1f}",
+                id.value, job->spec.job_class, job->spec.tasks, job->spec.estimate_s, job->submitted,
+                now() - job->submitted);
+  if (job->is_gang())
+    spdlog::debug("event=gang_done id={} attempts={} machines={} placed_after={:.2f} complete_after={:.2f}",
+                  id.value, job->gang.number, job->gang.machines, job->gang.placed_at - job->submitted,
+                  job->gang.running_at - job->submitted);
+  listener_.on_final(id, {wire::Stage::done, job->done_count, 0});
+}
+
+net::Task<void> LeaderTerm::look_up(Self self, JobId id) {
+  auto& services = self->services_;
+  while (self->alive_) {
+    store::Result<wire::KeyValue> open = co_await services.state.get(
+        core::key::open(id), services.loop.now() + net::seconds(limits::kBackgroundPatience));
+    if (open) co_return;
+    if (open.outcome == Outcome::missing) {
+      self->push(core::JobOffRecord{id});
+      co_return;
+    }
+    co_await services.loop.sleep(net::seconds(limits::kBackgroundRetry));
+  }
+}
+
+net::Task<bool> LeaderTerm::write_guarded(wire::Transaction transaction, Urgency urgency) {
+  transaction.guards.push_back(leader_guard());
+  while (alive_) {
+    store::Result<store::Committed> committed = co_await services_.state.commit(
+        transaction, urgency, services_.loop.now() + net::seconds(limits::kBackgroundPatience));
+    if (committed) co_return alive_;
+    const auto& failed = committed.value.failed_guards;
+    if (committed.outcome == Outcome::conflict) {
+      if (std::find(failed.begin(), failed.end(), store::kLeaderKey) != failed.end()) {
+        overtaken();
+        co_return false;
+      }
+      // The other guard says that the record exists: an earlier, unanswered call of this loop wrote it.
+      co_return alive_;
+    }
+    co_await services_.loop.sleep(net::seconds(limits::kBackgroundRetry));
+  }
+  co_return false;
+}
+
+net::Task<bool> LeaderTerm::record(std::string key, wire::Json value, Urgency urgency) {
+  wire::Transaction txn;
+  txn.guards.push_back({key, Revision(0)});
+  txn.puts.push_back({std::move(key), std::move(value), {}});
+  const bool written = co_await write_guarded(std::move(txn), urgency);
+  co_return written;
+}
+
+net::Task<void> LeaderTerm::carry_out(Self self, core::Rent effect) {
+  const std::string key = core::key::kRentPrefix + effect.rental.id.value;
+  if (!effect.recorded) {
+    // Ahead of what else waits: a day's first rentals stood in line behind its first submissions for 5 s.
+    const bool written = co_await self->record(key, wire::to_json(effect.rental), Urgency::high);
+    if (!written) co_return;
+  }
+  bool answered = false;
+  while (self->alive_ && !answered) {
+    cloud::Result<std::vector<MachineId>> rented = co_await self->services_.cloud.rent(effect.rental);
+    spdlog::info("event=rent id={} type={} zone={} spot={} count={} outcome={} got={}",
+                 effect.rental.id.value, effect.rental.type, effect.rental.zone, effect.rental.spot,
+                 effect.rental.count, static_cast<int>(rented.outcome), rented.value.size());
+    answered = rented.outcome != cloud::Outcome::unknown;
+    if (rented) {
+      self->push(core::RentAnswered{effect.rental.id, std::move(rented.value)});
+    } else if (answered) {
+      self->push(core::RentRefused{effect.rental.id});
+    } else {
+      // Under the same name, which rents nothing twice, until the cloud says what came of it.
+      co_await self->services_.loop.sleep(net::seconds(limits::kCloudRetry));
+    }
+  }
+  if (!answered) co_return;
+  self->discard({key});
+}
+
+net::Task<void> LeaderTerm::carry_out(Self self, core::ReturnMachines effect) {
+  if (!effect.recorded) {
+    const bool written =
+        co_await self->record(effect.record, wire::machine_names(effect.machines), Urgency::normal);
+    if (!written) co_return;
+  }
+  bool answered = false;
+  while (self->alive_ && !answered) {
+    const cloud::Outcome outcome = co_await self->services_.cloud.remove(effect.machines);
+    spdlog::info("event=give_back record={} machines={} first={} outcome={}", effect.record,
+                 effect.machines.size(), effect.machines.empty() ? "" : effect.machines.front().value,
+                 static_cast<int>(outcome));
+    answered = outcome == cloud::Outcome::ok;
+    if (!answered) co_await self->services_.loop.sleep(net::seconds(limits::kCloudRetry));
+  }
+  if (!answered) co_return;
+  self->push(core::MachinesDeleted{effect.record, effect.machines});
+  self->discard({effect.record});
+}
+
+net::Task<void> LeaderTerm::carry_out(Self self, core::RemoveKeys effect) {
+  self->discard(std::move(effect.keys));
+  co_return;
+}
+
+net::Task<void> LeaderTerm::carry_out(Self self, core::DirectStop effect) {
+  const auto address = net::Address::parse(effect.address);
+  if (!address) co_return;
+  auto& services = self->services_;
+  // Later than this the others no longer wait for it, and the answer to its report tells it to end as well.
+  const auto deadline = services.loop.now() + net::seconds(self->config_.gang_peer_s);
+  const std::string body = wire::encode(wire::direct_orders(self->token(), effect.session, effect.orders));
+  while (self->alive_ && services.loop.now() < deadline) {
+    net::CallResult result =
+        co_await services.transport.call(*address, "POST", std::string(wire::path::kDirectOrders), body,
+                                         net::seconds(limits::kDirectOrderTimeout));
+    spdlog::info("event=direct_stop machine={} status={}", effect.machine.value,
+                 result.response ? result.response->status : 0);
+    if (result.response) co_return;
+    co_await services.loop.sleep(net::seconds(limits::kDirectOrderRetry));
+  }
+}
+
+void LeaderTerm::discard(std::vector<std::string> keys) {
+  std::move(keys.begin(), keys.end(), std::back_inserter(discarded_));
+  if (!discarding_) net::spawn(remove_discarded(shared_from_this()));
+}
+
+net::Task<void> LeaderTerm::remove_discarded(Self self) {
+  // One transaction at a time: each in line on its own, they once filled the line and had submissions
+  // refused.
+  self->discarding_ = true;
+  while (self->alive_ && !self->discarded_.empty()) {
+    const auto count = std::min(self->discarded_.size(), self->config_.txn_ops);
+    const auto end = self->discarded_.begin() + static_cast<std::ptrdiff_t>(count);
+    wire::Transaction txn;
+    txn.removals.assign(self->discarded_.begin(), end);
+    self->discarded_.erase(self->discarded_.begin(), end);
+    const bool written = co_await self->write_guarded(std::move(txn), Urgency::background);
+    if (!written) break;
+  }
+  self->discarding_ = false;
+}
+
+}  // namespace dockdyke::app
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -33,13 +33,13 @@
                 {[this](std::optional<std::string> host) { leader_ = std::move(host); },
                  [this](store::Leadership leadership, net::TimePoint asked_at) {
                    leader_ = settings_.host;
-                   term_ = std::make_shared<Term>(
-                       Term::Services{loop_, state_, cloud_, transport_}, settings_.cluster, leadership,
+                   term_ = std::make_shared<LeaderTerm>(
+                       LeaderTerm::Services{loop_, state_, cloud_, transport_}, settings_.cluster, leadership,
                        asked_at,
-                       Term::Listener{[this] { election_.step_down(); },
-                                      [this](const JobId& id, const wire::JobStatus& status) {
-                                        frontend_.remember(id, status);
-                                      }});
+                       LeaderTerm::Listener{[this] { election_.step_down(); },
+                                            [this](const JobId& id, const wire::JobStatus& status) {
+                                              frontend_.remember(id, status);
+                                            }});
                    set_share();
                    if (state_.write_limit_lowered())
                      term_->push(core::WriteRateLowered{state_.write_limit()});
@@ -160,7 +160,7 @@
     bool reached = false;
     bool any_answer = settings_.siblings.empty();
     for (const auto& sibling : settings_.siblings) {
-      const std::optional<peer::Standing> standing = co_await peer::ask_standing(transport_, sibling.address);
+      const std::optional<peer::PeerStatus> standing = co_await peer::ask_status(transport_, sibling.address);
       if (!standing) continue;
       any_answer = true;
       reached = reached || standing->state_answers;
@@ -187,7 +187,7 @@
   std::uint64_t elsewhere = 0;
   bool any_answer = false;
   for (const auto& sibling : settings_.siblings) {
-    const std::optional<peer::Standing> standing = co_await peer::ask_standing(transport_, sibling.address);
+    const std::optional<peer::PeerStatus> standing = co_await peer::ask_status(transport_, sibling.address);
     if (!standing) continue;
     any_answer = true;
     elsewhere += standing->workers_heard;
@@ -255,11 +255,11 @@
 
 net::Task<HttpResponse> Node::handle_internal(HttpMessage request) {
   if (request.method != "POST") co_return HttpResponse{405, {}, std::nullopt};
-  if (request.path() == peer::kStandingPath) {
+  if (request.path() == peer::kStatusPath) {
     co_return HttpResponse{
         200,
-        peer::encode(peer::Standing{leading(), term_ ? term_->token().value : 0, !state_.suspect(),
-                                    workers_heard_.lately(loop_.now())}),
+        peer::encode(peer::PeerStatus{leading(), term_ ? term_->token().value : 0, !state_.suspect(),
+                                      workers_heard_.lately(loop_.now())}),
         std::nullopt};
   }
   if (request.path() == peer::kPollPath) {
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "app/frontend.hpp"
-#include "app/hearing.hpp"
+#include "app/leader_term.hpp"
+#include "app/report_counter.hpp"
 #include "app/settings.hpp"
-#include "app/term.hpp"
 #include "cloud/cloud_client.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -56,11 +56,11 @@
   cloud::CloudClient cloud_;
   Frontend frontend_;
   store::Election election_;
-  std::shared_ptr<Term> term_;
+  std::shared_ptr<LeaderTerm> term_;
   std::optional<std::string> leader_;
   std::uint32_t leader_was_slow_ = 0;  // submissions and cancellations in a row
   net::TimePoint leader_rests_until_;
-  Hearing workers_heard_;
+  ReportCounter workers_heard_;
   std::vector<wire::MachineType> types_;
   // While the store does not answer this controller: it answers others; none of them answers either.
   bool others_reach_state_ = false;
--- a/src/app/hearing.hpp
+++ b/src/app/report_counter.hpp
@@ -10,7 +10,7 @@
 
 namespace dockdyke::app {
 
-class Hearing {
+class ReportCounter {
  public:
   void note(net::TimePoint now) {
     Slot& slot = slots_[place(now)];
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -37,7 +37,7 @@
 
 void Cluster::on(const ReturnLoaded& command, Time now) {
   for (const auto& id : command.machines) machine_named(id, now).returning = true;
-  effects_.emplace_back(GiveBack{command.record, command.machines, true});
+  effects_.emplace_back(ReturnMachines{command.record, command.machines, true});
 }
 
 void Cluster::on(const RentAnswered& command, Time now) {
@@ -119,7 +119,7 @@
   constexpr std::size_t kAroundNames = 32;
   constexpr std::size_t kAroundName = 3;
   for (std::size_t next = 0; next < ids.size();) {
-    GiveBack effect{
+    ReturnMachines effect{
         key::kReturnPrefix + std::to_string(token_.value) + "-" + std::to_string(next_return_++), {}, false};
     std::size_t bytes = kAroundNames;
     while (next < ids.size() && effect.machines.size() < limits::kMaxDelete) {
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -105,13 +105,13 @@
   wire::Rental rental;
   bool recorded = false;
 };
-struct GiveBack {
+struct ReturnMachines {
   std::string record;
   std::vector<MachineId> machines;
   bool recorded = false;
 };
 // Keys nobody needs any more.
-struct Discard {
+struct RemoveKeys {
   std::vector<std::string> keys;
 };
 
@@ -125,13 +125,13 @@
   std::vector<wire::Order> orders;
 };
 
-using Effect = std::variant<Rent, GiveBack, Discard, DirectStop>;
+using Effect = std::variant<Rent, ReturnMachines, RemoveKeys, DirectStop>;
 
 // What became of a report.
-enum class ReportFate { taken, stale, overtaken };
+enum class ReportOutcome { taken, stale, overtaken };
 
 // Why the answer to a machine's report should wait a little.
-enum class Hold {
+enum class AnswerDelay {
   none,
   save,  // a record on its way will allow orders
   idle,  // it has nothing to do; work that comes meanwhile starts at once
@@ -174,7 +174,7 @@
   Cluster(Config config, Token token, Time now, std::int64_t time_of_day_ms);
 
   void apply(const Command& command, Time now);
-  ReportFate take_report(const wire::Report& report, Time now);
+  ReportOutcome take_report(const wire::Report& report, Time now);
   // The orders for the answer to the machine's last report. Marks starts as sent.
   // Without `allow_starts` (the leader's view may be stale) only tasks already there are dealt with.
   std::vector<wire::Order> orders_for(const MachineId& machine, bool allow_starts, Time now);
@@ -186,7 +186,7 @@
   // Seconds until next_save may have more; nothing when all is written.
   std::optional<double> save_due_in(Time now) const;
   std::vector<Effect> take_effects();
-  Hold hold(const MachineId& machine) const;
+  AnswerDelay hold(const MachineId& machine) const;
   // True while the report is the machine's last one and has not been answered.
   bool awaits_answer(const wire::Report& report) const;
   // The answer to the machine's last report went out.
@@ -212,7 +212,7 @@
   wire::Resources team_usage(const std::string& team) const;
   std::size_t pages() const { return pages_.size(); }
   // Machines and jobs looked at so far when places were given: the work that must not grow with the fleet.
-  std::uint64_t looks() const { return looks_; }
+  std::uint64_t scanned() const { return scanned_; }
 
  private:
   // cluster.cpp: records, reports and proofs
@@ -491,7 +491,7 @@
   std::uint64_t next_rent_ = 1;
   std::uint64_t next_return_ = 1;
   bool place_wanted_ = false;
-  std::uint64_t looks_ = 0;
+  std::uint64_t scanned_ = 0;
   Time preempted_at_ = 0;
   Time scaled_at_ = 0;
   std::map<std::string, double> ordinary_load_;  // lasting load, in machines, by type
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -277,7 +277,7 @@
   double largest = 1;
   for (const auto& type : types_) largest = std::max(largest, type.size.cpus);
   std::map<std::string, std::vector<Candidate>> groups;  // by zone where all tasks must share one
-  looks_ += machines.size();
+  scanned_ += machines.size();
   for (Machine* machine : machines) {
     if (kept_from(job, *machine, now)) continue;
     const auto cost = cost_of(job, *machine, largest);
--- a/src/core/pages.cpp
+++ b/src/core/pages.cpp
@@ -203,7 +203,7 @@
 }
 
 void Cluster::discard(std::vector<std::string> keys) {
-  effects_.emplace_back(Discard{std::move(keys)});
+  effects_.emplace_back(RemoveKeys{std::move(keys)});
 }
 
 std::vector<JobId> Cluster::save_ended(std::uint64_t number, const std::vector<std::string>& failed) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -111,7 +111,7 @@
   std::vector<Job*> unfinished;
   for (auto& [id, job] : jobs_)
     if (!job.cancelled && !job.complete()) unfinished.push_back(&job);
-  looks_ += unfinished.size();
+  scanned_ += unfinished.size();
 
   // A job is within its team's guarantee if it fits into it along with the team's earlier unfinished jobs.
   guaranteed_.clear();
@@ -337,7 +337,7 @@
   const bool picky = !ranked.hasty && job.spec.spot_allowed && waited < report_round_s();
   std::vector<std::pair<double, Machine*>> offers;
   for (Machine* machine : open) {
-    ++looks_;
+    ++scanned_;
     if (avoided.contains(machine->type_number) || kept_from(job, *machine, now)) continue;
     if (picky && tier(*machine) > open_tier_) continue;
     if (!any_image && !machine->has_image(job.spec.image) && !fetches_image(*machine, job)) continue;
@@ -381,7 +381,7 @@
   std::vector<Machine*> open;
   std::vector<wire::Resources> most_free(types_.size());
   for (Machine* machine : open_answers_) {
-    ++looks_;
+    ++scanned_;
     if (machine->type_number >= types_.size()) continue;
     const auto free = room(*machine);
     if (!least.fits_into(free) || !accepts(*machine, now)) continue;
@@ -398,7 +398,7 @@
   for (const bool any_image : {false, true}) {
     for (const auto& ranked : line) {
       Job& job = *ranked.job;
-      ++looks_;
+      ++scanned_;
       if (job.waiting() == 0 || now < job.not_before) continue;
       bool fits = false;
       for (std::size_t i = 0; i < types_.size() && !fits; ++i)
@@ -421,135 +421,4 @@
   place_wanted_ = ranking_stale_;  // some job is not in line yet
 }
 
-bool Cluster::may_stop(const Ranked& claimant, const Job& victim) const {
-  // A gang loses all that all its tasks did since their last checkpoint.
-  if (victim.cancelled || victim.is_gang() || &victim == claimant.job) return false;
-  if (claimant.guaranteed && victim.spec.team != claimant.job->spec.team)
-    return !guaranteed_.contains(victim.spec.id);
-  return victim.spec.priority < claimant.job->spec.priority && !guaranteed_.contains(victim.spec.id);
-}
-
-// What stopping some tasks of one machine would cost, and the room that it would make.
-struct Cluster::Chance {
-  double loss = 0;  // for each task that it makes room for
-  Machine* machine = nullptr;
-  std::vector<PlacedTask> victims;
-  std::size_t tasks = 0;
-  bool dear = false;  // some of what is stopped is more than work for idle hours
-};
-
-std::vector<std::pair<double, PlacedTask>> Cluster::victims_on(const Ranked& claimant, const Machine& machine,
-                                                               Time now) const {
-  std::vector<std::pair<double, PlacedTask>> victims;
-  for (const auto& task : machine.placements) {
-    const Job& other = *task.job;
-    const Placement& placement = task.placement();
-    if (placement.stopping || !may_stop(claimant, other)) continue;
-    const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
-    // Work for idle hours makes way before that of owners who wait for it.
-    const auto above_low =
-        static_cast<double>(other.spec.priority) - static_cast<double>(wire::Priority::low);
-    victims.emplace_back(
-        (other.spec.checkpoint_s > 0 ? other.spec.save_s : ran) + limits::kStopPriorityWeight * above_low,
-        task);
-  }
-  std::sort(victims.begin(), victims.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-  return victims;
-}
-
-std::optional<Cluster::Chance> Cluster::find_chance(const Ranked& claimant, Machine& machine,
-                                                    wire::Resources free, std::size_t wanted,
-                                                    Time now) const {
-  const auto& each = claimant.job->spec.each;
-  Chance chance;
-  chance.machine = &machine;
-  double loss = 0;
-  std::vector<PlacedTask> chosen;
-  for (const auto& [cost, task] : victims_on(claimant, machine, now)) {
-    const bool dear = task.job->spec.priority > wire::Priority::low;
-    if (dear && chance.tasks > 0) break;
-    chance.dear = chance.dear || dear;
-    free += task.job->spec.each;
-    chosen.push_back(task);
-    loss += cost + 1;
-    if (!each.fits_into(free)) continue;
-    for (; each.fits_into(free); ++chance.tasks) free -= each;
-    chance.victims.insert(chance.victims.end(), chosen.begin(), chosen.end());
-    chance.loss = loss;
-    chosen.clear();
-    if (chance.tasks >= wanted || chance.dear) break;
-  }
-  if (chance.tasks == 0) return std::nullopt;
-  chance.loss /= static_cast<double>(chance.tasks);
-  return chance;
-}
-
-wire::Resources Cluster::room_after_stops(const Machine& machine) const {
-  auto free = room(machine);
-  for (const auto& task : machine.placements)
-    if (task.placement().stopping) free += task.job->spec.each;
-  return free;
-}
-
-void Cluster::make_room_for(const Ranked& claimant, const std::vector<Machine*>& open, ClaimedRoom& claimed,
-                            Time now) {
-  const Job& job = *claimant.job;
-  const auto& each = job.spec.each;
-  const auto zones = zone_room(job);
-  // Room for all that waits: made for one task at a time, an array of two dozen took most of a minute.
-  // Where zones matter, and where what is stopped is more than work for idle hours, it goes step by step
-  // all the same: most of an array finds room that frees, and on a small fleet stopping all at once cost
-  // more than it gained.
-  std::size_t wanted = zones ? 1 : std::min<std::size_t>(job.waiting(), limit_room(job));
-  bool coming = false;  // room for one task at least, whoever else counts on it
-  std::vector<Chance> chances;
-  looks_ += open.size();
-  for (Machine* machine : open) {
-    if (wanted == 0) break;
-    if (!allowed_on(job, machine->type_number, machine->zone, machine->spot)) continue;
-    if (zones && (!zones->contains(machine->zone) || zones->at(machine->zone) == 0)) continue;
-    if (job.failed_on.contains(machine->id)) continue;
-    auto free = room_after_stops(*machine);
-    coming = coming || each.fits_into(free);
-    if (auto taken = claimed.find(machine); taken != claimed.end()) free -= taken->second;
-    // What is free or will be by earlier stops is waited for.
-    for (; wanted > 0 && each.fits_into(free); --wanted) {
-      free -= each;
-      claimed[machine] += each;
-    }
-    if (auto chance = find_chance(claimant, *machine, free, wanted, now))
-      chances.push_back(*std::move(chance));
-  }
-  std::stable_sort(chances.begin(), chances.end(),
-                   [](const Chance& a, const Chance& b) { return a.loss < b.loss; });
-  for (const auto& chance : chances) {
-    if (wanted == 0) break;
-    if (chance.dear && coming) continue;
-    coming = true;
-    const std::size_t tasks = std::min(wanted, chance.tasks);
-    for (const auto& victim : chance.victims) stop(victim.placement(), victim.job->spec.save_s);
-    claimed[chance.machine] += each * static_cast<double>(tasks);
-    wanted -= tasks;
-  }
-}
-
-void Cluster::make_room(Time now) {
-  std::optional<wire::Priority> least;  // of work that has places
-  for (const auto& [id, job] : jobs_)
-    if (!job.placements.empty()) least = std::min(least.value_or(job.spec.priority), job.spec.priority);
-  std::optional<std::vector<Machine*>> open;  // worked out when the first job needs it
-  ClaimedRoom claimed;
-  for (const auto& ranked : ranking(now)) {
-    const Job& job = *ranked.job;
-    // Nothing may be stopped for it. A pass over all machines for each waiting job of the lowest priority
-    // took a third of the leader's processor time at 2,049 machines.
-    if (!least || (job.spec.priority <= *least && !ranked.guaranteed)) continue;
-    if (job.is_gang() || job.waiting() == 0 || now < job.not_before ||
-        now - job.waiting_since < limits::kPreemptWait || limit_room(job) == 0)
-      continue;
-    if (!open) open = accepting_machines(now);
-    make_room_for(ranked, *open, claimed, now);
-  }
-}
-
 }  // namespace dockdyke::core
--- /dev/null
+++ b/src/core/timers.cpp
@@ -0,0 +1,107 @@
+// What time brings: leases that end, notices, cancellations that are due, and the leader's tick.
+#include <algorithm>
+#include <utility>
+
+#include "constants.hpp"
+#include "core/cluster.hpp"
+
+namespace dockdyke::core {
+
+// ---- Time -------------------------------------------------------------------------------------------------
+
+bool Cluster::lease_over(const Machine& machine, Time now) const {
+  const double lease = config_.lease_s * (1 + 2 * limits::kDrift) + limits::kLeaseMargin;
+  // Only a worker that has shown our token is known to live on our answers alone; one that an earlier
+  // leader may still keep alive is waited for or deleted.
+  return machine.trusted && now - std::max(machine.last_answer, machine.last_report) > lease;
+}
+
+void Cluster::expire_leases(Time now) {
+  for (auto& [id, machine] : machines_) {
+    if (machine.placements.empty()) continue;
+    if (silent(machine, now)) withdraw_unsent(machine, now);
+    if (!lease_over(machine, now)) continue;
+    const auto placements = machine.placements;
+    for (const auto& task : placements) {
+      if (task.job->cancelled) continue;
+      release(*task.job, task.index, now);
+      drop_if_gone(*task.job, now);  // a gang that is done may have been waiting for this proof
+    }
+  }
+}
+
+void Cluster::delete_cancelled_work(Time now) {
+  // A machine that hangs ends nothing: what it held when its lease ran out it holds until it goes on or is
+  // deleted. Waited for like any silent machine, some held cancelled tasks past the time that these have.
+  const double reserve_s = std::min(limits::kCancelReserve, limits::kCancelReserveShare * config_.cancel_s);
+  std::vector<MachineId> held;
+  for (auto& [id, machine] : machines_) {
+    if (machine.returning || machine.state != MachineState::up || !silent(machine, now)) continue;
+    const bool over = lease_over(machine, now);
+    const bool due =
+        std::any_of(machine.placements.begin(), machine.placements.end(), [&](const PlacedTask& task) {
+          return task.job->cancelled && (over || now - task.job->cancelled_at > config_.cancel_s - reserve_s);
+        });
+    if (due) held.push_back(id);
+  }
+  give_back(std::move(held), now);
+}
+
+void Cluster::stop_for_notices(Machine& machine, Time now) {
+  if (!machine.ends_at) return;
+  withdraw_unsent(machine, now);
+  const double left = *machine.ends_at - now;
+  for (const auto& task : machine.placements) {
+    const auto& spec = task.job->spec;
+    Placement& placement = task.placement();
+    if (placement.stopping) continue;
+    if (task.job->is_gang()) {
+      stop_gang_for_notice(*task.job, left, now);
+      continue;
+    }
+    const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+    const double remaining = std::max(0.0, task.job->expected_s - ran);
+    if (spec.checkpoint_s > 0) {
+      // Orders travel only with answers, so the last chance is a report period before it is needed.
+      if (left <= spec.save_s + limits::kNoticeMargin + 1.25 * config_.report_s) stop(placement, spec.save_s);
+    } else if (spec.shape == wire::Shape::service || remaining > left) {
+      stop(placement, 0);  // it can't end here: the sooner it starts again elsewhere the better
+    }
+  }
+}
+
+void Cluster::on(const Tick&, Time now) {
+  const auto outdated = [&](const auto& each) { return now - each.second > limits::kTombstone; };
+  std::erase_if(tombstones_, outdated);
+  std::erase_if(over_, outdated);
+  if (!loaded_) return;
+  if (!dead_keys_.empty()) discard(std::exchange(dead_keys_, {}));
+  delete_cancelled_work(now);
+  expire_leases(now);
+  judge_machines(now);
+  watch_gangs(now);
+  for (auto& [id, machine] : machines_) {
+    stop_for_notices(machine, now);
+    leave_slow_machine(machine, now);
+  }
+  ranking_stale_ = true;
+  find_scarce_types(now);
+  place_gangs_anywhere(now);
+  keep_room_for_gang(now);
+  hold_reserve(now);
+  if (now - preempted_at_ >= limits::kPreemptEvery) {
+    preempted_at_ = now;
+    make_room(now);
+  }
+  if (now - scaled_at_ >= limits::kTick) {
+    scaled_at_ = now;
+    review_machines(now);
+    scale(now);
+  } else {
+    const std::size_t fleet = fleet_size();
+    if (fleet < config_.max_machines) rent_for_waiting(config_.max_machines - fleet, now);
+  }
+  place_wanted_ = true;  // pauses may have run out
+}
+
+}  // namespace dockdyke::core
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -126,9 +126,9 @@
 };
 
 // Wakes one waiting coroutine; a ring while nobody waits is remembered.
-class Bell {
+class WakeUp {
  public:
-  explicit Bell(Loop& loop) : loop_(&loop) {}
+  explicit WakeUp(Loop& loop) : loop_(&loop) {}
   void ring() {
     rung_ = true;
     if (waiting_) {
@@ -139,7 +139,7 @@
   }
   auto wait_for(Duration limit) {
     struct Awaiter {
-      Bell& bell;
+      WakeUp& bell;
       Duration limit;
       bool await_ready() const noexcept { return bell.rung_; }
       void await_suspend(std::coroutine_handle<> waiting) {
--- a/src/peer/peer.cpp
+++ b/src/peer/peer.cpp
@@ -27,7 +27,7 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, Standing& message) {
+void serialize(Archive& archive, PeerStatus& message) {
   archive(message.leading, message.token, message.state_answers, message.workers_heard);
 }
 
@@ -91,10 +91,10 @@
 std::string encode(const std::vector<PolledJob>& polled) {
   return packed(polled);
 }
-std::optional<Standing> decode_standing(const std::string& bytes) {
-  return unpacked<Standing>(bytes);
+std::optional<PeerStatus> decode_status(const std::string& bytes) {
+  return unpacked<PeerStatus>(bytes);
 }
-std::string encode(const Standing& message) {
+std::string encode(const PeerStatus& message) {
   return packed(message);
 }
 
@@ -139,11 +139,10 @@
   co_await ask(transport, sibling, kWriteLimitPath, "?", limits::kPeerTimeout);
 }
 
-net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling) {
-  std::optional<std::string> body =
-      co_await ask(transport, sibling, kStandingPath, "?", limits::kPeerTimeout);
+net::Task<std::optional<PeerStatus>> ask_status(net::Transport& transport, net::Address sibling) {
+  std::optional<std::string> body = co_await ask(transport, sibling, kStatusPath, "?", limits::kPeerTimeout);
   if (!body) co_return std::nullopt;
-  co_return decode_standing(*body);
+  co_return decode_status(*body);
 }
 
 }  // namespace dockdyke::peer
--- a/src/peer/peer.hpp
+++ b/src/peer/peer.hpp
@@ -35,7 +35,7 @@
   wire::JobStatus job;
 };
 
-struct Standing {
+struct PeerStatus {
   bool leading = false;
   std::uint64_t token = 0;
   bool state_answers = false;
@@ -44,7 +44,7 @@
 
 inline constexpr const char* kForwardPath = "/peer/forward";
 inline constexpr const char* kPollPath = "/peer/poll";
-inline constexpr const char* kStandingPath = "/peer/standing";
+inline constexpr const char* kStatusPath = "/peer/standing";
 inline constexpr const char* kCancelledPath = "/peer/cancelled";
 // Unknown to earlier versions, which answer 404.
 inline constexpr const char* kWriteLimitPath = "/peer/write-limit";
@@ -58,8 +58,8 @@
 std::string encode(const std::vector<std::string>& jobs);
 std::optional<std::vector<PolledJob>> decode_polled(const std::string& bytes);
 std::string encode(const std::vector<PolledJob>& polled);
-std::optional<Standing> decode_standing(const std::string& bytes);
-std::string encode(const Standing& message);
+std::optional<PeerStatus> decode_status(const std::string& bytes);
+std::string encode(const PeerStatus& message);
 
 ForwardAnswer to_answer(const net::HttpResponse& response);
 net::HttpResponse to_response(ForwardAnswer answer);
@@ -75,6 +75,6 @@
 // Tells that the state service has put its announced lower limit of writes in force. Nothing rests on its
 // arrival.
 net::Task<void> tell_write_limit(net::Transport& transport, net::Address sibling);
-net::Task<std::optional<Standing>> ask_standing(net::Transport& transport, net::Address sibling);
+net::Task<std::optional<PeerStatus>> ask_status(net::Transport& transport, net::Address sibling);
 
 }  // namespace dockdyke::peer
--- a/src/store/election.hpp
+++ b/src/store/election.hpp
@@ -52,7 +52,7 @@
   std::string host_;
   Listener listener_;
   std::optional<Leadership> held_;
-  net::Bell wake_;
+  net::WakeUp wake_;
   net::TimePoint rests_until_;  // after handing on
 };
 
--- a/tests/cluster_fixture.hpp
+++ b/tests/cluster_fixture.hpp
@@ -180,7 +180,7 @@
   std::uint64_t inherited_pages = 0;
   std::vector<Save> saves;
   std::vector<Effect> effects;
-  ReportFate last_fate = ReportFate::taken;
+  ReportOutcome last_fate = ReportOutcome::taken;
 };
 
 }  // namespace dockdyke::testing
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -79,7 +79,7 @@
   const auto save = cluster.next_save(now);
   ASSERT_TRUE(save);
   EXPECT_EQ(save->transaction.puts.at(0).key, "gang/job-1/1/0");
-  EXPECT_EQ(cluster.hold(MachineId("n-1")), Hold::save);
+  EXPECT_EQ(cluster.hold(MachineId("n-1")), AnswerDelay::save);
   EXPECT_EQ(count(answer(one), Verb::start), 0u) << "not on record yet";
   cluster.apply(SaveDone{save->number}, now);
   EXPECT_EQ(count(answer(two), Verb::start), 1u);
@@ -156,7 +156,8 @@
   report_only(one);
   pass(4);
   std::vector<std::string> removed;
-  for (const auto& each : seen<Discard>()) removed.insert(removed.end(), each.keys.begin(), each.keys.end());
+  for (const auto& each : seen<RemoveKeys>())
+    removed.insert(removed.end(), each.keys.begin(), each.keys.end());
   EXPECT_NE(std::find(removed.begin(), removed.end(), "gang/job-1/1/0"), removed.end());
   EXPECT_EQ(std::find(removed.begin(), removed.end(), "gang/job-1/2/0"), removed.end());
 }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -129,13 +129,13 @@
     pass(2);
     exchange(worker);
   }
-  EXPECT_TRUE(seen<GiveBack>().empty());
+  EXPECT_TRUE(seen<ReturnMachines>().empty());
   for (int i = 0; i < 30; ++i) {
     pass(2);
     exchange(worker);
   }
-  ASSERT_FALSE(seen<GiveBack>().empty());
-  EXPECT_EQ(seen<GiveBack>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
+  ASSERT_FALSE(seen<ReturnMachines>().empty());
+  EXPECT_EQ(seen<ReturnMachines>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
 }
 
 TEST_F(PlacementTest, LastingWorkOnAnOrdinaryMachineRentsASpotOneAndItsEndStopsThat) {
@@ -169,9 +169,9 @@
   cluster.apply(MachinesListed{{{MachineId("n-1"), "small", "a", true, wire::MachineStage::booting, 1}}},
                 now);
   pass(100);
-  EXPECT_TRUE(seen<GiveBack>().empty());
+  EXPECT_TRUE(seen<ReturnMachines>().empty());
   pass(60);
-  EXPECT_FALSE(seen<GiveBack>().empty());
+  EXPECT_FALSE(seen<ReturnMachines>().empty());
 }
 
 TEST_F(PlacementTest, MachineThatFailsTasksOfSeveralJobsIsDrainedAndDeleted) {
@@ -190,7 +190,7 @@
     pass(2);
     exchange(worker);
   }
-  EXPECT_EQ(seen<GiveBack>().at(0).machines[0], MachineId("n-1"));
+  EXPECT_EQ(seen<ReturnMachines>().at(0).machines[0], MachineId("n-1"));
 }
 
 TEST_F(PlacementTest, MachineOnWhichTasksTakeSeveralTimesAsLongAsElsewhereIsLeft) {
@@ -223,7 +223,8 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->waiting(), 2u) << "they go on elsewhere";
   run(6);
   std::set<MachineId> returned;
-  for (const auto& effect : seen<GiveBack>()) returned.insert(effect.machines.begin(), effect.machines.end());
+  for (const auto& effect : seen<ReturnMachines>())
+    returned.insert(effect.machines.begin(), effect.machines.end());
   EXPECT_TRUE(returned.contains(MachineId("n-3")));
 
   workers = {ready_worker("n-4")};
@@ -455,17 +456,17 @@
   EXPECT_EQ(started, 2u * kMachines);
   EXPECT_LT(writes, 60u) << "records follow time, not tasks";
   // A report costs a look at the waiting jobs, not at the fleet: far from kMachines a report.
-  EXPECT_LT(large.looks(), 3u * kMachines * 2 * kJobs);
-  const auto before = large.looks();
+  EXPECT_LT(large.scanned(), 3u * kMachines * 2 * kJobs);
+  const auto before = large.scanned();
   time += 0.001;
   large.take_report(workers[0].report(), time);  // full
   large.place(time);
-  EXPECT_LE(large.looks() - before, 2u);
+  EXPECT_LE(large.scanned() - before, 2u);
   // Nor does a second's review look at every machine for every job that waits for room.
-  const auto before_review = large.looks();
+  const auto before_review = large.scanned();
   time += limits::kPreemptWait + 1;
   large.apply(Tick{}, time);
-  EXPECT_LT(large.looks() - before_review, static_cast<std::uint64_t>(kMachines + 2 * kJobs));
+  EXPECT_LT(large.scanned() - before_review, static_cast<std::uint64_t>(kMachines + 2 * kJobs));
 }
 
 class StartObjectiveTest : public ClusterTest {
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -15,7 +15,7 @@
   store_answers = false;
   submit(job_spec("job-1", 1));
   EXPECT_EQ(count(exchange(worker), Verb::start), 0u);
-  EXPECT_EQ(cluster.hold(MachineId("n-1")), Hold::save);
+  EXPECT_EQ(cluster.hold(MachineId("n-1")), AnswerDelay::save);
   store_answers = true;
   const auto orders = exchange(worker);
   ASSERT_EQ(count(orders, Verb::start), 1u);
@@ -103,7 +103,7 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.at(0).machine->id, MachineId("n-1"));
   pass(60);
   const std::vector<MachineId> silent_one{MachineId("n-1")};
-  const auto deletions = seen<GiveBack>();
+  const auto deletions = seen<ReturnMachines>();
   const bool deleted = std::any_of(deletions.begin(), deletions.end(),
                                    [&](const auto& each) { return each.machines == silent_one; });
   EXPECT_TRUE(deleted);
@@ -137,7 +137,7 @@
   exchange(worker);
   worker.shows("job-1", 0, 1, TaskState::running);
   exchange(worker);
-  EXPECT_EQ(cluster.take_report(late, now), ReportFate::stale);
+  EXPECT_EQ(cluster.take_report(late, now), ReportOutcome::stale);
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.at(0).attempt, 1u);
 }
 
@@ -146,7 +146,7 @@
   Worker worker{"n-1"};
   worker.token = kToken + 1;
   exchange(worker);
-  EXPECT_EQ(last_fate, ReportFate::overtaken);
+  EXPECT_EQ(last_fate, ReportOutcome::overtaken);
 }
 
 TEST_F(SafetyTest, ResultIsForgottenOnlyOnceItIsOnRecord) {
@@ -191,8 +191,8 @@
   exchange(worker);
   EXPECT_EQ(cluster.job(JobId("job-1")), nullptr);
   EXPECT_EQ(cluster.team_usage("team").cpus, 0);
-  ASSERT_EQ(seen<Discard>().size(), 1u);
-  EXPECT_EQ(seen<Discard>()[0].keys[0], key::linger(JobId("job-1")));
+  ASSERT_EQ(seen<RemoveKeys>().size(), 1u);
+  EXPECT_EQ(seen<RemoveKeys>()[0].keys[0], key::linger(JobId("job-1")));
 }
 
 TEST_F(SafetyTest, CopyOfAJobCancelledBeforeItWasHeardOfIsRemovedOnce) {
@@ -200,8 +200,8 @@
   loaded();
   cluster.apply(JobOffRecord{JobId("job-1")}, now);
   cluster.apply(JobOffRecord{JobId("job-1")}, now);  // by the watch, too
-  ASSERT_EQ(seen<Discard>().size(), 1u);
-  EXPECT_EQ(seen<Discard>()[0].keys, std::vector<std::string>{key::linger(JobId("job-1"))});
+  ASSERT_EQ(seen<RemoveKeys>().size(), 1u);
+  EXPECT_EQ(seen<RemoveKeys>()[0].keys, std::vector<std::string>{key::linger(JobId("job-1"))});
 }
 
 TEST_F(SafetyTest, TaskCancelledBeforeTheTakeOverIsStillStoppedAndCounted) {
@@ -294,7 +294,7 @@
   auto worker = ready_worker("n-1");
   cluster.apply(MachinesDeleted{"return/1", {MachineId("n-1")}}, now);
   exchange(worker);
-  EXPECT_EQ(last_fate, ReportFate::stale);
+  EXPECT_EQ(last_fate, ReportOutcome::stale);
   cluster.apply(MachinesListed{{{MachineId("n-1"), "small", "a", true, wire::MachineStage::running, 90}}},
                 now);
   EXPECT_EQ(cluster.machine(MachineId("n-1")), nullptr) << "the list lags";
@@ -340,13 +340,13 @@
     pass(2);
     EXPECT_EQ(count(exchange(deaf), Verb::start), 0u);
   }
-  EXPECT_TRUE(seen<GiveBack>().empty()) << "its lease may still be running";
+  EXPECT_TRUE(seen<ReturnMachines>().empty()) << "its lease may still be running";
   for (int i = 0; i < 6; ++i) {
     pass(2);
     exchange(deaf);
   }
-  ASSERT_FALSE(seen<GiveBack>().empty());
-  EXPECT_EQ(seen<GiveBack>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
+  ASSERT_FALSE(seen<ReturnMachines>().empty());
+  EXPECT_EQ(seen<ReturnMachines>()[0].machines, std::vector<MachineId>{MachineId("n-1")});
 }
 
 TEST_F(SafetyTest, MachineThatNeverTakesANewLeadersTokenIsDeletedAndOnlyThenItsTasksMove) {
@@ -361,8 +361,8 @@
   }
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.at(0).machine->id, MachineId("n-1"));
   const std::vector<MachineId> deleted{MachineId("n-1")};
-  ASSERT_FALSE(seen<GiveBack>().empty());
-  EXPECT_EQ(seen<GiveBack>()[0].machines, deleted);
+  ASSERT_FALSE(seen<ReturnMachines>().empty());
+  EXPECT_EQ(seen<ReturnMachines>()[0].machines, deleted);
   cluster.apply(MachinesDeleted{"return/1", deleted}, now);
   EXPECT_TRUE(cluster.job(JobId("job-1"))->placements.empty());
 }
@@ -396,7 +396,7 @@
   auto other = ready_worker("n-2");
   for (int i = 0; i < 14; ++i) {
     pass(1);
-    EXPECT_EQ(cluster.take_report(copy, now), ReportFate::stale);
+    EXPECT_EQ(cluster.take_report(copy, now), ReportOutcome::stale);
   }
   exchange(other);
   report_only(other);
@@ -415,7 +415,7 @@
   worker.tasks.clear();
   worker.session = 2;  // its lease ran out, and with it the task
   exchange(worker);
-  EXPECT_EQ(cluster.take_report(copy, now), ReportFate::stale);
+  EXPECT_EQ(cluster.take_report(copy, now), ReportOutcome::stale);
   EXPECT_FALSE(cluster.job(JobId("job-1"))->placements.at(0).shown);
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.at(0).attempt, 2u);
 }
@@ -427,7 +427,7 @@
   worker.token = kToken - 1;
   auto copy = worker.report();  // from before the tasks were started, under the earlier leader
   worker.sequence = 50;
-  EXPECT_EQ(cluster.take_report(copy, now), ReportFate::taken);
+  EXPECT_EQ(cluster.take_report(copy, now), ReportOutcome::taken);
   EXPECT_EQ(cluster.job(JobId("job-1"))->placements.size(), 2u) << "nothing absent from it is gone";
   EXPECT_EQ(count(answer(worker), Verb::start), 0u);
   worker.shows("job-1", 0, 1, TaskState::running);
@@ -436,7 +436,7 @@
   const auto& placements = cluster.job(JobId("job-1"))->placements;
   EXPECT_TRUE(placements.at(0).shown);
   EXPECT_EQ(cluster.job(JobId("job-1"))->tasks[1].attempt, 2u) << "this one does prove";
-  EXPECT_EQ(cluster.take_report(copy, now), ReportFate::stale);
+  EXPECT_EQ(cluster.take_report(copy, now), ReportOutcome::stale);
 }
 
 class QuotaTest : public ClusterTest {
--- a/tests/store_limits_test.cpp
+++ b/tests/store_limits_test.cpp
@@ -61,7 +61,7 @@
     for (const auto& put : save.transaction.puts) kinds.insert(put.key.substr(0, put.key.find('/')));
   }
   EXPECT_EQ(kinds, (std::set<std::string>{"gang", "over", "page"}));
-  const auto returns = seen<GiveBack>();
+  const auto returns = seen<ReturnMachines>();
   ASSERT_FALSE(returns.empty());
   std::size_t given_back = 0;
   for (const auto& each : returns) {
@@ -84,7 +84,7 @@
     for (auto& worker : workers) exchange(worker);
     pass(1);
   }
-  for (const auto& each : seen<GiveBack>()) {
+  for (const auto& each : seen<ReturnMachines>()) {
     given_back += each.machines.size();
     EXPECT_LE(wire::machine_names(each.machines).dump().size(), kLeastBytes);
   }
--- a/tests/stored_formats_test.cpp
+++ b/tests/stored_formats_test.cpp
@@ -154,7 +154,7 @@
   EXPECT_EQ(hex(peer::encode(*statuses)), polled);
 
   const std::string standing = "01012900000000000000010900000000000000";
-  const auto said = peer::decode_standing(bytes_of(standing));
+  const auto said = peer::decode_status(bytes_of(standing));
   ASSERT_TRUE(said);
   EXPECT_EQ(said->token, 41u);
   EXPECT_EQ(hex(peer::encode(*said)), standing);
