--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -40,6 +40,11 @@
     exchange(one);
     exchange(two);
   }
+  std::map<std::string, std::uint64_t> rented_by_zone() {
+    std::map<std::string, std::uint64_t> rented;
+    for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
+    return rented;
+  }
   // What the worker shows of its task of the gang's attempt.
   void show(Worker& worker, TaskState state, ExitCause cause = ExitCause::none, Attempt attempt = 1) {
     worker.tasks.clear();
@@ -316,8 +321,7 @@
     exchange(one);
     pass(1);
   }
-  std::map<std::string, std::uint64_t> rented;
-  for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
+  auto rented = rented_by_zone();
   EXPECT_EQ(rented[zone], 0u);
   EXPECT_EQ(rented[zone == "a" ? "b" : "a"], 3u);
 }
@@ -328,8 +332,7 @@
   spec.one_zone = true;
   submit(spec);
   pass(6);
-  std::map<std::string, std::uint64_t> rented;
-  for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
+  auto rented = rented_by_zone();
   ASSERT_EQ(rented.size(), 1u);
   EXPECT_EQ(rented.begin()->second, 3u);
 }
