--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -40,6 +40,13 @@
     exchange(one);
     exchange(two);
   }
+  // Three tasks, each as large as a machine, and no machine yet.
+  void submit_gang_bound_to_one_zone() {
+    loaded();
+    auto spec = gang_spec("job-1", 3);
+    spec.one_zone = true;
+    submit(spec);
+  }
   std::map<std::string, std::uint64_t> rented_by_zone() {
     std::map<std::string, std::uint64_t> rented;
     for (const auto& rent : seen<Rent>()) rented[rent.rental.zone] += rent.rental.count;
@@ -306,10 +313,7 @@
 }
 
 TEST_F(GangTest, IsRentedForWhereAllOfItCanBeHadAlsoWhenAnotherZoneHasRoomForSome) {
-  loaded();
-  auto spec = gang_spec("job-1", 3);
-  spec.one_zone = true;
-  submit(spec);
+  submit_gang_bound_to_one_zone();
   pass(3);
   const auto refused = seen<Rent>();
   ASSERT_FALSE(refused.empty());
@@ -327,10 +331,7 @@
 }
 
 TEST_F(GangTest, IsRentedForAsAWholeInOneZone) {
-  loaded();
-  auto spec = gang_spec("job-1", 3);
-  spec.one_zone = true;
-  submit(spec);
+  submit_gang_bound_to_one_zone();
   pass(6);
   auto rented = rented_by_zone();
   ASSERT_EQ(rented.size(), 1u);
@@ -338,10 +339,7 @@
 }
 
 TEST_F(GangTest, IsRentedForInAnotherZoneAfterARefusal) {
-  loaded();
-  auto spec = gang_spec("job-1", 3);
-  spec.one_zone = true;
-  submit(spec);
+  submit_gang_bound_to_one_zone();
   pass(6);
   const auto first = seen<Rent>();
   ASSERT_FALSE(first.empty());
