--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -145,6 +145,98 @@
   EXPECT_EQ(submit(node, stranger).status, 422);
 }
 
+TEST_F(NodeTest, AGangIsAcceptedOnlyIfAllOfItCanRunTogether) {
+  settings_change = [](app::Settings& settings) { settings.cluster.teams[1].limit.cpus = 12; };
+  auto& node = start(0);
+  ASSERT_TRUE(until([&] { return node.leading() && ready(node); }));
+  auto gang = job_spec("job-1", 3, 4);
+  gang.shape = wire::Shape::gang;
+  gang.team = "other";
+  EXPECT_EQ(submit(node, gang).status, 201);
+  EXPECT_EQ(submit(node, gang).status, 200);
+  EXPECT_EQ(stage(ask(node, "GET", "/work/job-1")), "pending");
+  EXPECT_EQ(stage(ask(node, "POST", "/work/job-1/withdraw")), "cancelled");
+
+  auto too_much = gang;
+  too_much.id = JobId("job-2");
+  too_much.tasks = 4;
+  EXPECT_EQ(submit(node, too_much).status, 422) << "all tasks together need more than the limit";
+  too_much.shape = wire::Shape::array;
+  EXPECT_EQ(submit(node, too_much).status, 201) << "one after the other they do not";
+  auto unlimited = too_much;
+  unlimited.id = JobId("job-3");
+  unlimited.team = "team";
+  unlimited.shape = wire::Shape::gang;
+  EXPECT_EQ(submit(node, unlimited).status, 201) << "a limit of 0 is none";
+
+  auto contradictory = gang;
+  contradictory.id = JobId("job-4");
+  contradictory.spread = true;
+  EXPECT_EQ(submit(node, contradictory).status, 201);
+  contradictory.id = JobId("job-5");
+  contradictory.one_zone = true;
+  EXPECT_EQ(submit(node, contradictory).status, 422) << "half of it in one zone, and all of it in one";
+  auto nowhere = gang;
+  nowhere.id = JobId("job-6");
+  nowhere.zone = "no such zone";
+  EXPECT_EQ(submit(node, nowhere).status, 422);
+}
+
+TEST_F(NodeTest, AGangIsNotDecidedOnWhileTypesAreUnknown) {
+  cloud.types_known = false;
+  auto& node = start(0);
+  ASSERT_TRUE(until([&] { return node.leading(); }));
+  auto gang = job_spec("job-1", 3, 4);
+  gang.shape = wire::Shape::gang;
+  EXPECT_EQ(submit(node, gang).status, 503);
+}
+
+TEST_F(NodeTest, ARecordTooLargeForAValueIsRefusedUnlessTheJobIsKnown) {
+  settings_change = [](app::Settings& settings) { settings.cluster.value_bytes = 1024; };
+  auto& node = start(0);
+  ASSERT_TRUE(until([&] { return node.leading() && ready(node); }));
+  auto spec = job_spec("job-1", 1);
+  spec.job_class = std::string(180, '\x01');  // six bytes each where sizes are measured
+  EXPECT_EQ(submit(node, spec).status, 400);
+  // Written by an earlier version under a higher limit.
+  state.keys["open/job-1"] = {core::to_json(job_record(spec)), ++state.revision};
+  EXPECT_EQ(submit(node, spec).status, 200) << "accepted once, it stays accepted";
+  EXPECT_EQ(stage(ask(node, "GET", "/work/job-1")), "pending");
+  EXPECT_EQ(stage(ask(node, "POST", "/work/job-1/withdraw")), "cancelled");
+  EXPECT_LE(state.keys.at("linger/job-1").value.dump().size(), 1024u);
+
+  auto many_types = job_spec("job-2", 1);
+  many_types.machine_types.emplace();
+  for (int i = 0; i < 300; ++i) many_types.machine_types->push_back("type-" + std::to_string(i));
+  EXPECT_EQ(submit(node, many_types).status, 422) << "none of them is offered";
+  many_types.machine_types->push_back("small");
+  EXPECT_EQ(submit(node, many_types).status, 201) << "those that nobody offers need no room";
+}
+
+// A leader of an earlier version calls a gang malformed.
+TEST_F(NodeTest, AFollowerServesItselfWhatItsLeaderCallsMalformed) {
+  auto& leader = start(0, 2);
+  ASSERT_TRUE(until([&] { return leader.leading() && ready(leader); }));
+  auto& follower = start(1, 2);
+  ASSERT_TRUE(until([&] { return follower.leader() == "dyke-0" && ready(follower); }));
+  std::size_t asked = 0;
+  network.handlers[peer_address(0)] = [&](auto, auto target, auto) -> net::Task<net::HttpMessage> {
+    net::HttpMessage out;
+    out.status = 200;
+    if (target == peer::kForwardPath) {
+      ++asked;
+      out.body = peer::encode(peer::ForwardAnswer{true, 400, 0, {}});
+    } else {
+      out.status = 404;
+    }
+    co_return out;
+  };
+  auto gang = job_spec("job-1", 3, 4);
+  gang.shape = wire::Shape::gang;
+  EXPECT_EQ(submit(follower, gang).status, 201);
+  EXPECT_EQ(asked, 1u);
+}
+
 TEST_F(NodeTest, OutageIsAnsweredAtOnceAndNeverWithAnOlderState) {
   auto& node = start(0);
   ASSERT_TRUE(until([&] { return node.leading() && ready(node); }));
