Answers of machines with lasting room wait for work; more peers than sockets take turns

And at 4,000 machines on 1,200 sockets the first workers to come kept every connection of a controller for ever.

Change: the answer to a machine that has room, and whose tasks are all below 0.4 of their estimate, waits like an empty one's. A server past three quarters of its connections closes them after the answer; held answers take half of them at the most. The queue of reports and the listen backlog hold a fleet of 4,000. The images of recent gangs are gathered once a tick instead of for every machine.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -149,7 +149,7 @@
 void LeaderTerm::release_held() {
   std::vector<MachineId> ready;
   for (const auto& [machine, held] : held_)
-    if (cluster_.hold(machine) == core::AnswerDelay::none) ready.push_back(machine);
+    if (cluster_.hold(machine, now()) == core::AnswerDelay::none) ready.push_back(machine);
   for (const auto& machine : ready) {
     held_.at(machine).set(true);
     held_.erase(machine);
@@ -161,8 +161,9 @@
   const auto began = loop.now();
   std::optional<net::TimePoint> saving_since;
   while (alive_) {
-    const auto hold = cluster_.hold(machine);
+    const auto hold = cluster_.hold(machine, now());
     if (hold == core::AnswerDelay::none) co_return;
+    if (hold == core::AnswerDelay::idle && held_.size() >= services_.most_held_answers) co_return;
     // Work given to an idle machine meanwhile has the same time to get on record as any other.
     if (hold == core::AnswerDelay::save && !saving_since) saving_since = loop.now();
     const auto until = saving_since ? *saving_since + net::seconds(limits::kAnswerWait)
--- a/src/app/leader_term.hpp
+++ b/src/app/leader_term.hpp
@@ -24,7 +24,8 @@
     net::Loop& loop;
     store::StateClient& state;
     cloud::CloudClient& cloud;
-    net::Transport& transport;  // to workers
+    net::Transport& transport;      // to workers
+    std::size_t most_held_answers;  // as far as connections allow
   };
 
   struct Listener {
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -34,8 +34,8 @@
                  [this](store::Leadership leadership, net::TimePoint asked_at) {
                    leader_ = settings_.host;
                    term_ = std::make_shared<LeaderTerm>(
-                       LeaderTerm::Services{loop_, state_, cloud_, transport_}, settings_.cluster, leadership,
-                       asked_at,
+                       LeaderTerm::Services{loop_, state_, cloud_, transport_, most_held_answers()},
+                       settings_.cluster, leadership, asked_at,
                        LeaderTerm::Listener{[this] { election_.step_down(); },
                                             [this](const JobId& id, const wire::JobStatus& status) {
                                               frontend_.remember(id, status);
@@ -75,12 +75,19 @@
   }
 }
 
+std::size_t Node::public_connections() const {
+  const auto limit = settings_.connections;
+  return limit > 2 * limits::kReservedSockets ? limit - limits::kReservedSockets : limit / 2;
+}
+
+std::size_t Node::most_held_answers() const {
+  return static_cast<std::size_t>(limits::kHeldAnswersShare * static_cast<double>(public_connections()));
+}
+
 void Node::start(bool serve) {
   if (serve) {
-    const auto limit = settings_.connections;
-    const auto room = limit > 2 * limits::kReservedSockets ? limit - limits::kReservedSockets : limit / 2;
     public_server_ = std::make_unique<net::HttpServer>(
-        loop_, settings_.public_address, room,
+        loop_, settings_.public_address, public_connections(),
         [this](HttpMessage request) { return handle_public(std::move(request)); });
     internal_server_ = std::make_unique<net::HttpServer>(
         loop_, settings_.internal_address, limits::kReservedSockets / 2,
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -48,6 +48,10 @@
   void use_types(std::vector<wire::MachineType> types);
   void set_share();
   bool healthy() const;
+  // For users and workers.
+  std::size_t public_connections() const;
+  // Answers to workers that may wait for work at the same time.
+  std::size_t most_held_answers() const;
 
   net::Loop& loop_;
   net::Transport& transport_;
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -24,8 +24,8 @@
 inline constexpr std::size_t kMaxResponseBody = 8ull * 1024 * 1024;
 // Bytes read from a socket in one call.
 inline constexpr std::size_t kReadChunk = 16ull * 1024;
-// Connections waiting to be accepted.
-inline constexpr int kListenBacklog = 256;
+// Connections waiting to be accepted. After a take-over all workers of a large fleet connect within a second.
+inline constexpr int kListenBacklog = 4096;
 // A connection may sit idle this long; users poll every 5 s, workers report every few seconds.
 inline constexpr auto kIdleConnection = 75s;
 // A request must be complete this long after its first byte, or the peer is too slow to serve.
@@ -35,6 +35,9 @@
 // Descriptors kept for our own calls (state, cloud, peers, listening) when connections come close to the
 // limit.
 inline constexpr std::size_t kReservedSockets = 64;
+// Share of a server's connections above which they are closed after their answer. Workers report every few
+// seconds and would keep theirs open for ever: 4,000 of them on 1,200 sockets shut out users and each other.
+inline constexpr double kCrowdedShare = 0.75;
 // Accepted connections per turn; the rest wait in the backlog, which holds back whoever sends them.
 inline constexpr int kAcceptsPerTurn = 32;
 // Idle client connections kept per destination; more than this many calls at once are rare.
@@ -199,6 +202,11 @@
 // for work: orders travel only in answers, and the next report is a whole period away.
 inline constexpr double kIdleHoldShare = 0.8;
 inline constexpr double kIdleHold = 2.8;
+// Share of the connections that answers held for work may occupy; the rest is for those who ask.
+inline constexpr double kHeldAnswersShare = 0.5;
+// Share of its estimate past which a task keeps the answer to its machine from being held for work: owners'
+// estimates are often wrong by half, and a worker reports nothing while it waits.
+inline constexpr double kHoldProgress = 0.4;
 // Reports in a row that show our answers to have had no effect after which a machine gets no more work.
 inline constexpr std::uint32_t kUnheeded = 2;
 // Reports are due every report_s give or take a quarter; after this many periods a machine counts as silent.
@@ -208,7 +216,8 @@
 // to two watches old in ordinary times.
 inline constexpr double kFreshForStarts = 4.0;
 // Reports waiting for the owner of the state; one more is told to come back, which holds the workers back.
-inline constexpr std::size_t kReportQueue = 1024;
+// Twice a fleet of 4,000, whose workers all report at once after a take-over.
+inline constexpr std::size_t kReportQueue = 8192;
 // Seconds between the leader's looks at its timers (leases, notices); the fleet is counted every kTick.
 inline constexpr double kHousekeeping = 1.0;
 // Seconds before a background call to the state service that was refused is made again.
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -134,7 +134,7 @@
 enum class AnswerDelay {
   none,
   save,  // a record on its way will allow orders
-  idle,  // it has nothing to do; work that comes meanwhile starts at once
+  idle,  // it has room and nothing to tell for a while; work that comes meanwhile starts at once
 };
 
 // What users are told of a job that is not over.
@@ -186,7 +186,7 @@
   // Seconds until next_save may have more; nothing when all is written.
   std::optional<double> save_due_in(Time now) const;
   std::vector<Effect> take_effects();
-  AnswerDelay hold(const MachineId& machine) const;
+  AnswerDelay hold(const MachineId& machine, Time now) const;
   // True while the report is the machine's last one and has not been answered.
   bool awaits_answer(const wire::Report& report) const;
   // The answer to the machine's last report went out.
@@ -349,6 +349,8 @@
   bool starving(const Job& job, Time now) const;
   bool allowed_on(const Job& job, std::size_t type, const std::string& zone, bool spot) const;
   bool accepts(const Machine& machine, Time now) const;
+  // It has room for some job's task, and none of its own tasks is likely to end within the next seconds.
+  bool has_lasting_room(const Machine& machine, Time now) const;
   // Tasks that may yet start in each zone. Nothing: any number in any zone.
   using Zones = std::optional<std::map<std::string, std::size_t>>;
   // How many of the job's, given where its others are now.
@@ -456,7 +458,8 @@
   Time ranked_at_ = 0;
   bool ranking_stale_ = true;
   std::set<std::size_t> scarce_;
-  std::size_t open_tier_ = 0;  // the tiers up to this one have room enough for all that waits
+  wire::Resources smallest_task_;  // of all jobs, at the last ranking
+  std::size_t open_tier_ = 0;      // the tiers up to this one have room enough for all that waits
   Estimates estimates_;
   GangReserve reserve_;
   std::vector<GangReserve::Wanted> reserve_wanted_;  // of the last tick
--- a/src/core/gang_reserve.cpp
+++ b/src/core/gang_reserve.cpp
@@ -30,12 +30,11 @@
   return out;
 }
 
-std::size_t GangReserve::images_on(const Machine& machine) const {
-  std::set<std::string> found;
+std::set<std::string> GangReserve::images() const {
+  std::set<std::string> images;
   for (const auto& [job_class, arrivals] : arrivals_)
-    for (const auto& arrival : arrivals)
-      if (machine.has_image(arrival.spec.image)) found.insert(arrival.spec.image);
-  return found.size();
+    for (const auto& arrival : arrivals) images.insert(arrival.spec.image);
+  return images;
 }
 
 }  // namespace dockdyke::core
--- a/src/core/gang_reserve.hpp
+++ b/src/core/gang_reserve.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,8 @@
   void note_arrival(const wire::JobSpec& spec, Time now);
   // By class; `window_s` is the time in which more machines could be had.
   std::vector<Wanted> wanted(double window_s, Time now);
-  // How many of the images that came lately the machine has.
-  std::size_t images_on(const Machine& machine) const;
+  // The images of the gangs that came lately.
+  std::set<std::string> images() const;
 
  private:
   struct Arrival {
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -378,6 +378,12 @@
   for (auto& [id, machine] : machines_) machine.reserved = false;
   if (reserve_wanted_.empty()) return;
   const auto machines = accepting_machines(now);
+  const auto recent_images = reserve_.images();
+  const auto images_on = [&](const Machine& machine) {
+    return static_cast<std::size_t>(
+        std::count_if(machine.images.begin(), machine.images.end(),
+                      [&](const auto& image) { return recent_images.contains(image.first); }));
+  };
   for (const auto& wanted : reserve_wanted_) {
     if (wanted.largest.spot_allowed) continue;  // other work may use the same machines at no loss
     const Job gang = model_gang(wanted.largest);
@@ -388,7 +394,7 @@
       if (machine->reserved || !allowed_on(gang, machine->type_number, machine->zone, machine->spot))
         continue;
       const auto fits = tasks_fitting(gang.spec.each, room(*machine));
-      const auto images = reserve_.images_on(*machine);
+      const auto images = images_on(*machine);
       if (fits > 0) rooms.emplace_back(Rank(images, fits), machine);
     }
     std::stable_sort(rooms.begin(), rooms.end(),
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -310,12 +310,13 @@
   for (const auto& ranked : ranking_) waiting += ranked.job->waiting() * ranked.job->spec.each.cpus;
   Smallest smallest;
   for (const auto& [id, job] : jobs_) smallest.add(job.spec.each);
+  smallest_task_ = smallest.size();
   constexpr std::size_t kTiers = 4;
   std::array<double, kTiers> free{};
   for (const auto& [id, machine] : machines_) {
     if (!type_of(machine) || !accepts(machine, now)) continue;
     const auto left = room(machine);
-    if (smallest.size().fits_into(left)) free[tier(machine)] += left.cpus;
+    if (smallest_task_.fits_into(left)) free[tier(machine)] += left.cpus;
   }
   open_tier_ = 0;
   for (double sum = free[0]; open_tier_ + 1 < kTiers && sum < waiting; sum += free[open_tier_]) ++open_tier_;
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -326,7 +326,18 @@
   open_answers_.erase(&found->second);
 }
 
-AnswerDelay Cluster::hold(const MachineId& id) const {
+bool Cluster::has_lasting_room(const Machine& machine, Time now) const {
+  if (!accepts(machine, now) || !smallest_task_.fits_into(room(machine))) return false;
+  // While its answer is held, a worker can't report that a task has ended.
+  return std::none_of(machine.placements.begin(), machine.placements.end(), [&](const PlacedTask& task) {
+    const Placement& placement = task.placement();
+    if (placement.stopping) return true;
+    if (task.job->spec.shape == wire::Shape::service || placement.running_since == 0) return false;
+    return now - placement.running_since > limits::kHoldProgress * task.job->expected_s;
+  });
+}
+
+AnswerDelay Cluster::hold(const MachineId& id, Time now) const {
   auto found = machines_.find(id);
   if (found == machines_.end() || !loaded_ || !found->second.trusted) return AnswerDelay::none;
   const Machine& machine = found->second;
@@ -342,7 +353,8 @@
       return AnswerDelay::save;
     orders = orders || unsent || placement.stopping;
   }
-  return orders || !machine.placements.empty() ? AnswerDelay::none : AnswerDelay::idle;
+  if (orders) return AnswerDelay::none;
+  return machine.placements.empty() || has_lasting_room(machine, now) ? AnswerDelay::idle : AnswerDelay::none;
 }
 
 }  // namespace dockdyke::core
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -111,6 +111,10 @@
   co_await socket.write_all(bytes, loop_.now() + std::chrono::seconds(1));
 }
 
+bool HttpServer::crowded() const {
+  return static_cast<double>(connections_) > limits::kCrowdedShare * static_cast<double>(max_connections_);
+}
+
 Task<void> HttpServer::serve(Socket socket) {
   HttpParser parser(HttpParser::Kind::request, limits::kMaxRequestBody);
   std::string pending;
@@ -142,8 +146,9 @@
       response.status = parser.error();
     } else {
       auto request = parser.take();
-      keep_alive = request.keep_alive;
+      const bool asked_to_keep = request.keep_alive;
       response = co_await handler_(std::move(request));
+      keep_alive = asked_to_keep && !crowded();
     }
     const auto bytes = serialize(response, keep_alive);
     const IoStatus sent = co_await socket.write_all(bytes, loop_.now() + limits::kResponseWrite);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -27,7 +27,8 @@
  public:
   using Handler = std::function<Task<HttpResponse>(HttpMessage)>;
 
-  // Serves at most `max_connections` at once; one more is told 503 and closed.
+  // Serves at most `max_connections` at once; one more is told 503 and closed. When that comes near,
+  // connections are closed after their answer, so that more peers than there are sockets take turns.
   HttpServer(Loop& loop, Address address, std::size_t max_connections, Handler handler);
   void start();
   std::size_t connections() const { return connections_; }
@@ -36,6 +37,7 @@
   Task<void> accept_loop();
   Task<void> serve(Socket socket);
   Task<void> refuse(Socket socket);
+  bool crowded() const;
 
   Loop& loop_;
   int listen_fd_;
--- /dev/null
+++ b/tests/answer_hold_test.cpp
@@ -0,0 +1,61 @@
+// Which answers to workers wait for work that may come.
+#include "cluster_fixture.hpp"
+#include "constants.hpp"
+
+namespace dockdyke::testing {
+
+class AnswerHoldTest : public ClusterTest {
+ protected:
+  static constexpr double kExpected = 100;
+
+  // A worker that has been running one task of so many CPUs, of its eight, for `ran_s`.
+  Worker busy_worker(double cpus, double ran_s) {
+    loaded();
+    auto spec = job_spec("job-1", 1, cpus);
+    spec.estimate_s = kExpected;
+    submit(spec);
+    auto worker = ready_worker("n-1");
+    answer(worker);
+    worker.shows("job-1", 0, 1, wire::TaskState::running);
+    exchange(worker);
+    // It goes on reporting all the time.
+    const Time end = now + ran_s;
+    while (now < end) {
+      now += 1;
+      exchange(worker);
+      cluster.apply(Tick{}, now);
+    }
+    report_only(worker);
+    return worker;
+  }
+  AnswerDelay hold() const { return cluster.hold(MachineId("n-1"), now); }
+};
+
+TEST_F(AnswerHoldTest, AnEmptyMachineWaitsForWork) {
+  loaded();
+  ready_worker("n-1");
+  EXPECT_EQ(hold(), AnswerDelay::idle);
+}
+
+TEST_F(AnswerHoldTest, SoDoesOneThatHasRoomAndWhoseTaskHasLongToGo) {
+  busy_worker(4, 10);
+  EXPECT_EQ(hold(), AnswerDelay::idle);
+}
+
+TEST_F(AnswerHoldTest, ATaskThatMayEndSoonIsNotKeptFromBeingReported) {
+  busy_worker(4, limits::kHoldProgress * kExpected + 2);
+  EXPECT_EQ(hold(), AnswerDelay::none);
+}
+
+TEST_F(AnswerHoldTest, AFullMachineHasNothingToWaitFor) {
+  busy_worker(8, 10);
+  EXPECT_EQ(hold(), AnswerDelay::none);
+}
+
+TEST_F(AnswerHoldTest, AnOrderToStopGoesOutAtOnce) {
+  busy_worker(4, 10);
+  cluster.apply(JobOffRecord{JobId("job-1")}, now);
+  EXPECT_EQ(hold(), AnswerDelay::none);
+}
+
+}  // namespace dockdyke::testing
--- a/tests/gang_test.cpp
+++ b/tests/gang_test.cpp
@@ -91,7 +91,7 @@
   const auto save = cluster.next_save(now);
   ASSERT_TRUE(save);
   EXPECT_EQ(save->transaction.puts.at(0).key, "gang/job-1/1/0");
-  EXPECT_EQ(cluster.hold(MachineId("n-1")), AnswerDelay::save);
+  EXPECT_EQ(cluster.hold(MachineId("n-1"), now), AnswerDelay::save);
   EXPECT_EQ(count(answer(one), Verb::start), 0u) << "not on record yet";
   cluster.apply(SaveDone{save->number}, now);
   EXPECT_EQ(count(answer(two), Verb::start), 1u);
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -33,6 +33,7 @@
     settings.cloud = *net::Address::parse("10.2.0.2:8443");
     for (int i = 0; i < of; ++i)
       if (i != number) settings.siblings.push_back({"dyke-" + std::to_string(i), peer_address(i)});
+    settings.connections = 4000;
     settings.state_rps = 1000;
     settings.state_write_rps = 500;
     settings.cluster = cluster_config();
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -15,7 +15,7 @@
   store_answers = false;
   submit(job_spec("job-1", 1));
   EXPECT_EQ(count(exchange(worker), Verb::start), 0u);
-  EXPECT_EQ(cluster.hold(MachineId("n-1")), AnswerDelay::save);
+  EXPECT_EQ(cluster.hold(MachineId("n-1"), now), AnswerDelay::save);
   store_answers = true;
   const auto orders = exchange(worker);
   ASSERT_EQ(count(orders, Verb::start), 1u);
--- a/tests/simulation.cpp
+++ b/tests/simulation.cpp
@@ -194,6 +194,7 @@
   settings.cloud = address("cloud");
   for (int i = 0; i < options_.controllers; ++i)
     if (i != number) settings.siblings.push_back({host(i), address(host(i))});
+  settings.connections = 4000;
   settings.state_rps = 1000;
   settings.state_write_rps = options_.writes_per_second;
   settings.state_write_rps_later = options_.writes_per_second_later;
