Questions of all controllers share one batch at the leader

Ruled out: processor time (0.35 of the leader's share), sockets.

Change: the leader answers other controllers' questions in the same batches as its users', one batch at a time, each job once. The batches are a module of their own (app/poll_batcher). The line holds 4,096 questions.

--- a/src/app/frontend.cpp
+++ b/src/app/frontend.cpp
@@ -41,7 +41,12 @@
 }  // namespace
 
 Frontend::Frontend(net::Loop& loop, store::StateClient& state, const core::Config& config, Listener listener)
-    : loop_(loop), state_(state), config_(config), listener_(std::move(listener)) {}
+    : loop_(loop),
+      state_(state),
+      config_(config),
+      listener_(std::move(listener)),
+      polls_(loop,
+             {listener_.ask_leader, [this](std::vector<JobId> ids) { return look_up(std::move(ids)); }}) {}
 
 void Frontend::remember(const JobId& id, const wire::JobStatus& status) {
   if (!finals_.emplace(id, status).second) return;
@@ -171,44 +176,17 @@
 net::Task<HttpResponse> Frontend::poll(JobId id) {
   if (auto known = finals_.find(id); known != finals_.end())
     co_return answer(200, wire::job_status_answer(id, known->second));
-  if (polls_.size() >= limits::kPollsWaiting) co_return come_back();
-  const net::OneShot<peer::PolledJob> answered(loop_);
-  polls_.push_back({id, answered});
-  if (!answering_polls_) net::spawn(answer_polls());
-  const std::optional<peer::PolledJob> polled =
-      co_await answered.wait_until(loop_.now() + net::seconds(limits::kPollBudget));
-  if (!polled || polled->status == 503) co_return come_back();
-  if (polled->status != 200) co_return HttpResponse{polled->status, {}, std::nullopt};
-  co_return answer(200, wire::job_status_answer(id, polled->job));
+  const peer::PolledJob polled = co_await polls_.ask(id, net::seconds(limits::kPollBudget));
+  if (polled.status == 503) co_return come_back();
+  if (polled.status != 200) co_return HttpResponse{polled.status, {}, std::nullopt};
+  if (is_final(polled.job.stage)) remember(id, polled.job);
+  co_return answer(200, wire::job_status_answer(id, polled.job));
 }
 
-net::Task<void> Frontend::answer_polls() {
-  answering_polls_ = true;
-  while (!polls_.empty()) {
-    const auto waiting = std::exchange(polls_, {});
-    std::vector<JobId> ids;
-    ids.reserve(waiting.size());
-    for (const auto& each : waiting) ids.push_back(each.id);
-    std::optional<std::vector<peer::PolledJob>> polled = co_await listener_.ask_leader(ids);
-    // Jobs the leader can't tell of are looked up here: the store may refuse the leader alone.
-    std::vector<std::size_t> unclear;
-    std::vector<JobId> unclear_ids;
-    for (std::size_t i = 0; i < ids.size(); ++i) {
-      if (polled && (*polled)[i].status != 503) continue;
-      unclear.push_back(i);
-      unclear_ids.push_back(ids[i]);
-    }
-    if (!polled) polled.emplace(ids.size());
-    std::vector<peer::PolledJob> looked_up = co_await look_up(std::move(unclear_ids));
-    for (std::size_t i = 0; i < unclear.size(); ++i) (*polled)[unclear[i]] = looked_up[i];
-    for (std::size_t i = 0; i < waiting.size(); ++i) {
-      const auto& job = (*polled)[i];
-      if (job.status == 200 && is_final(job.job.stage)) remember(ids[i], job.job);
-      waiting[i].answer.set(job);
-    }
-    co_await loop_.sleep(net::seconds(limits::kPollGather));
-  }
-  answering_polls_ = false;
+net::Task<std::vector<peer::PolledJob>> Frontend::poll_for_peer(std::vector<JobId> ids) {
+  std::vector<peer::PolledJob> polled =
+      co_await polls_.ask_all(std::move(ids), net::seconds(limits::kAskLeaderTimeout));
+  co_return polled;
 }
 
 net::Task<void> Frontend::look_up_one(JobId id, net::TimePoint deadline, peer::PolledJob* out,
--- a/src/app/frontend.hpp
+++ b/src/app/frontend.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "app/latency_histogram.hpp"
+#include "app/poll_batcher.hpp"
 #include "core/cluster.hpp"
 #include "core/records.hpp"
 #include "net/http_server.hpp"
@@ -43,8 +44,8 @@
   std::optional<net::HttpResponse> refusal(const std::string& body) const;
   net::Task<net::HttpResponse> submit(std::string body);
   net::Task<net::HttpResponse> poll(JobId id);
-  // The present state of each job, read from the store for this question.
-  net::Task<std::vector<peer::PolledJob>> look_up(std::vector<JobId> ids);
+  // The present state of each job, for another controller.
+  net::Task<std::vector<peer::PolledJob>> poll_for_peer(std::vector<JobId> ids);
   // The job's end is on record.
   void remember(const JobId& id, const wire::JobStatus& status);
   net::Task<net::HttpResponse> cancel(JobId id);
@@ -63,8 +64,8 @@
   bool can_ever_run(const wire::JobSpec& spec) const;
   // Names of types that nobody offers need no room in the record.
   void drop_unknown_types(wire::JobSpec& spec) const;
-  // Answers the polls in line, all that have come together at once, until there are none.
-  net::Task<void> answer_polls();
+  // The present state of each job, read from the store for this question.
+  net::Task<std::vector<peer::PolledJob>> look_up(std::vector<JobId> ids);
   // Looks up one job and counts down the rest.
   net::Task<void> look_up_one(JobId id, net::TimePoint deadline, peer::PolledJob* out, std::size_t* left,
                               net::OneShot<bool> all_done);
@@ -78,12 +79,7 @@
   Latency submission_times_;
   std::unordered_map<JobId, wire::JobStatus> finals_;
   std::deque<JobId> finals_order_;
-  struct WaitingPoll {
-    JobId id;
-    net::OneShot<peer::PolledJob> answer;
-  };
-  std::vector<WaitingPoll> polls_;
-  bool answering_polls_ = false;
+  PollBatcher polls_;
 };
 
 }  // namespace dockdyke::app
--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -275,7 +275,7 @@
     if (!term_) co_return come_back();
     std::vector<JobId> ids;
     for (auto& name : *names) ids.emplace_back(std::move(name));
-    std::vector<peer::PolledJob> polled = co_await frontend_.look_up(std::move(ids));
+    std::vector<peer::PolledJob> polled = co_await frontend_.poll_for_peer(std::move(ids));
     co_return HttpResponse{200, peer::encode(polled), std::nullopt};
   }
   if (request.path() == peer::kCancelledPath) {
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -171,8 +171,9 @@
 inline constexpr int kRetryAfter = 1;
 // Seconds between readings that answer all the polls gathered meanwhile; users wait 2 s for each.
 inline constexpr double kPollGather = 0.08;
-// Polls in line; more are answered 503 at once.
-inline constexpr std::size_t kPollsWaiting = 512;
+// Polls in line, at the leader those of all controllers; more are answered 503 at once. Users of a fleet of
+// 4,000 ask about some thousand open jobs every few seconds.
+inline constexpr std::size_t kPollsWaiting = 4096;
 // Final states remembered per node to answer late polls without the store.
 inline constexpr std::size_t kFinalCache = 20'000;
 // Submissions being carried out at once; one more is answered 503 at once.
--- /dev/null
+++ b/tests/poll_batcher_test.cpp
@@ -0,0 +1,101 @@
+// Questions about jobs are answered in batches, however many controllers ask.
+#include "app/poll_batcher.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "constants.hpp"
+
+namespace dockdyke::testing {
+
+using peer::PolledJob;
+
+class PollBatcherTest : public ::testing::Test {
+ protected:
+  static constexpr double kStoreTakes = 0.3;
+
+  PollBatcherTest()
+      : batcher(loop, {[this](std::vector<JobId> ids) { return from_leader(std::move(ids)); },
+                       [this](std::vector<JobId> ids) { return from_store(std::move(ids)); }}) {}
+
+  net::Task<std::optional<std::vector<PolledJob>>> from_leader(std::vector<JobId> ids) {
+    if (!leader_status) co_return std::nullopt;
+    co_return std::vector<PolledJob>(ids.size(), PolledJob{*leader_status, {}});
+  }
+  net::Task<std::vector<PolledJob>> from_store(std::vector<JobId> ids) {
+    ++look_ups;
+    looked_up += ids.size();
+    const auto began = loop.now();
+    co_await loop.sleep(net::seconds(kStoreTakes));
+    last_began = began;
+    co_return std::vector<PolledJob>(ids.size(), PolledJob{200, {}});
+  }
+
+  net::Task<void> ask_all(std::vector<JobId> ids) {
+    const auto asked_at = loop.now();
+    const std::vector<PolledJob> polled = co_await batcher.ask_all(std::move(ids), net::seconds(2));
+    for (const auto& each : polled) {
+      answered += each.status == 200;
+      refused += each.status == 503;
+    }
+    EXPECT_GE(last_began, asked_at) << "an answer from before the question may be too old";
+  }
+  static std::vector<JobId> jobs(int from, int count) {
+    std::vector<JobId> ids;
+    for (int i = from; i < from + count; ++i) ids.emplace_back("job-" + std::to_string(i));
+    return ids;
+  }
+  void run(double s) {
+    const auto end = loop.now() + net::seconds(s);
+    while (loop.now() < end) loop.turn(end - loop.now());
+  }
+
+  net::Loop loop{net::Loop::Time::simulated};
+  app::PollBatcher batcher;
+  std::optional<int> leader_status;
+  net::TimePoint last_began;
+  std::size_t look_ups = 0;
+  std::size_t looked_up = 0;
+  std::size_t answered = 0;
+  std::size_t refused = 0;
+};
+
+TEST_F(PollBatcherTest, ASlowStoreGetsLargerBatchesNotMoreOfThem) {
+  // Guards against a leader whose requests are used up by five controllers that ask ten times a second each.
+  constexpr int kRounds = 30;
+  constexpr int kControllers = 5;
+  for (int round = 0; round < kRounds; ++round) {
+    for (int controller = 0; controller < kControllers; ++controller)
+      net::spawn(ask_all(jobs(10 * controller, 10)));
+    run(0.1);
+  }
+  run(3);
+  EXPECT_EQ(answered, static_cast<std::size_t>(kRounds * kControllers * 10));
+  EXPECT_LE(look_ups, static_cast<std::size_t>(kRounds * 0.1 / kStoreTakes) + 3);
+}
+
+TEST_F(PollBatcherTest, AJobThatManyAskAboutIsReadOnce) {
+  for (int i = 0; i < 20; ++i) net::spawn(ask_all(jobs(0, 1)));
+  run(2);
+  EXPECT_EQ(answered, 20u);
+  EXPECT_LE(looked_up, 2u) << "the first question goes ahead, the others share the next reading";
+}
+
+TEST_F(PollBatcherTest, WhatTheLeaderCantTellIsLookedUp) {
+  leader_status = 503;
+  net::spawn(ask_all(jobs(0, 3)));
+  run(2);
+  EXPECT_EQ(answered, 3u);
+  EXPECT_EQ(looked_up, 3u);
+}
+
+TEST_F(PollBatcherTest, AFullLineIsRefusedAtOnce) {
+  net::spawn(ask_all(jobs(0, static_cast<int>(limits::kPollsWaiting) + 10)));
+  run(2);
+  EXPECT_GE(refused, 9u);
+  EXPECT_GE(answered, limits::kPollsWaiting);
+}
+
+}  // namespace dockdyke::testing
