--- a/src/app/node.cpp
+++ b/src/app/node.cpp
@@ -41,8 +41,7 @@
                                               frontend_.remember(id, status);
                                             }});
                    set_share();
-                   if (state_.write_limit_lowered())
-                     term_->push(core::WriteRateLowered{state_.write_limit()});
+                   tell_term_write_limit();
                    term_->start(types_);
                  },
                  [this](net::TimePoint asked_at) {
@@ -58,12 +57,16 @@
   set_share();
   state_.on_write_limit_seen([this] {
     spdlog::info("event=write_limit_lowered per_second={}", state_.write_limit());
-    if (term_) term_->push(core::WriteRateLowered{state_.write_limit()});
+    tell_term_write_limit();
     for (const auto& sibling : settings_.siblings)
       net::spawn(peer::tell_write_limit(transport_, sibling.address));
   });
 }
 
+void Node::tell_term_write_limit() {
+  if (term_ && state_.write_limit_lowered()) term_->push(core::WriteRateLowered{state_.write_limit()});
+}
+
 void Node::set_share() {
   const auto others = static_cast<double>(settings_.siblings.size());
   if (others == 0) {
@@ -167,13 +170,13 @@
     bool reached = false;
     bool any_answer = settings_.siblings.empty();
     for (const auto& sibling : settings_.siblings) {
-      const std::optional<peer::PeerStatus> standing = co_await peer::ask_status(transport_, sibling.address);
-      if (!standing) continue;
+      const std::optional<peer::PeerStatus> status = co_await peer::ask_status(transport_, sibling.address);
+      if (!status) continue;
       any_answer = true;
-      reached = reached || standing->state_answers;
-      if (!standing->leading) continue;
-      if (term_ && standing->token > term_->token().value) {
-        spdlog::info("event=newer_leader host={} token={}", sibling.host, standing->token);
+      reached = reached || status->state_answers;
+      if (!status->leading) continue;
+      if (term_ && status->token > term_->token().value) {
+        spdlog::info("event=newer_leader host={} token={}", sibling.host, status->token);
         election_.step_down();
       }
       if (!term_) leader_ = sibling.host;
@@ -194,10 +197,10 @@
   std::uint64_t elsewhere = 0;
   bool any_answer = false;
   for (const auto& sibling : settings_.siblings) {
-    const std::optional<peer::PeerStatus> standing = co_await peer::ask_status(transport_, sibling.address);
-    if (!standing) continue;
+    const std::optional<peer::PeerStatus> status = co_await peer::ask_status(transport_, sibling.address);
+    if (!status) continue;
     any_answer = true;
-    elsewhere += standing->workers_heard;
+    elsewhere += status->workers_heard;
   }
   const auto silence = term->silence();
   if (term != term_ || !silence.odd()) co_return;
@@ -287,7 +290,7 @@
   }
   if (request.path() == peer::kWriteLimitPath) {
     state_.lower_write_limit();
-    if (term_ && state_.write_limit_lowered()) term_->push(core::WriteRateLowered{state_.write_limit()});
+    tell_term_write_limit();
     co_return HttpResponse{};
   }
   if (request.path() != peer::kForwardPath) co_return HttpResponse{404, {}, std::nullopt};
--- a/src/app/node.hpp
+++ b/src/app/node.hpp
@@ -47,6 +47,8 @@
   net::Task<void> log_users();
   void use_types(std::vector<wire::MachineType> types);
   void set_share();
+  // The leader's books keep to the lower rate once it is in force.
+  void tell_term_write_limit();
   bool healthy() const;
   // For users and workers.
   std::size_t public_connections() const;
--- a/src/core/cluster.hpp
+++ b/src/core/cluster.hpp
@@ -345,6 +345,8 @@
   void rank_jobs(Time now);
   // The waiting jobs in the order in which they are to be served.
   const Ranking& ranking(Time now);
+  // Seconds within which the class wants its tasks started, by its most ambitious objective.
+  std::optional<double> quickest_start_s(const std::string& job_class) const;
   // No task of it has begun for so long that it goes before all others.
   bool starving(const Job& job, Time now) const;
   bool allowed_on(const Job& job, std::size_t type, const std::string& zone, bool spot) const;
@@ -357,6 +359,8 @@
   Zones zone_room(const Job& job) const;
   // Seconds of a task's time that its place on this machine would cost; nothing where it can't go.
   std::optional<double> cost_of(const Job& job, const Machine& machine, double largest_cpus) const;
+  // Seconds that the machine takes for the job's image.
+  double fetch_s(const Job& job, const Machine& machine) const;
   static bool fetches_image(const Machine& machine, const Job& job);
   // Gives places to as many of the job's tasks as possible on machines that wait for an answer.
   std::size_t place_job(const Ranked& ranked, const std::vector<Machine*>& open, bool any_image,
--- a/src/core/demand.cpp
+++ b/src/core/demand.cpp
@@ -60,12 +60,9 @@
   for (const auto& ranked : ranking(now)) {
     const Job& job = *ranked.job;
     if (job.waiting() == 0 || now < job.not_before) continue;
+    const auto start_s = quickest_start_s(job.spec.job_class);
     const bool waits =
-        std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
-          return objective.kind == Objective::Kind::wait && objective.job_class == job.spec.job_class &&
-                 now - job.waiting_since >
-                     std::max(limits::kShortWait, limits::kPressedShare * objective.within_s);
-        });
+        start_s && now - job.waiting_since > std::max(limits::kShortWait, limits::kPressedShare * *start_s);
     for (std::size_t i = 0; waits && i < pressed.size(); ++i) pressed[i] = pressed[i] || job.suits_type(i);
   }
   return pressed;
--- a/src/core/gangs.cpp
+++ b/src/core/gangs.cpp
@@ -135,7 +135,6 @@
   // All are proved gone: the next attempt may be made.
   job.gang.broken = false;
   job.gang.blamed = false;
-  job.gang.saving = false;
   job.returned.clear();
   job.next_fresh = 0;
   job.waiting_since = now;
@@ -157,7 +156,6 @@
 
 void Cluster::save_gang(Job& job) {
   job.gang.broken = true;
-  job.gang.saving = true;
   std::map<Machine*, std::vector<wire::Order>> orders;
   for (auto& [index, placement] : job.placements) {
     stop(placement, job.spec.save_s + limits::kGangSaveMargin);
@@ -283,9 +281,7 @@
     const auto cost = cost_of(job, *machine, largest);
     if (!cost) continue;
     Candidate candidate{machine, 0, *cost, tasks_fitting(job.spec.each, room(*machine))};
-    if (!machine->has_image(job.spec.image))
-      candidate.fetch_s =
-          job.spec.image_gb / std::max(limits::kLeastFetch, type_of(*machine)->fetch_gb_per_s);
+    if (!machine->has_image(job.spec.image)) candidate.fetch_s = fetch_s(job, *machine);
     // All go at the pace of the slowest.
     candidate.fetch_s += limits::kSlowSignWeight * machine->slow_signs;
     groups[job.spec.one_zone ? machine->zone : std::string()].push_back(candidate);
@@ -358,10 +354,8 @@
 }
 
 bool Cluster::wants_quick_starts(const wire::JobSpec& spec) const {
-  return std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
-    return objective.kind == Objective::Kind::wait && objective.job_class == spec.job_class &&
-           objective.within_s < limits::kQuickStart;
-  });
+  const auto wanted_s = quickest_start_s(spec.job_class);
+  return wanted_s && *wanted_s < limits::kQuickStart;
 }
 
 Job Cluster::model_gang(const wire::JobSpec& spec) const {
@@ -438,7 +432,7 @@
     wire::Resources free = room(*machine);
     for (const auto& task : machine->placements) {
       const Placement& placement = task.placement();
-      const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+      const double ran = placement.ran_s(now);
       const bool ends = task.job->spec.shape != wire::Shape::service &&
                         std::max(0.0, task.job->expected_s - ran) < limits::kGangKeep;
       if (ends || placement.stopping) free += task.job->spec.each;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -75,6 +75,8 @@
   Time running_since = 0;
   bool stopping = false;
   double grace_s = 0;
+  // For how long it has been seen running.
+  double ran_s(Time now) const { return running_since > 0 ? now - running_since : 0; }
   // No worker can have its start.
   bool unsent() const { return !sent && !shown && !inherited; }
 };
@@ -101,7 +103,6 @@
   std::uint32_t confirmed = 0;  // parts known to be stored
   bool broken = false;          // a task is gone or is to go: the others are stopped
   bool blamed = false;          // its failure has been counted
-  bool saving = false;          // all its tasks were told to save
   Time placed_at = 0;
   Time running_at = 0;            // when one of its tasks was first seen running: all were, then
   std::size_t machines = 0;       // on which it was placed
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -67,7 +67,7 @@
   if (nearly_done(job, placement, now)) return true;
   const double expected = job.expected_s;
   if (expected <= 0) return false;
-  const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+  const double ran = placement.ran_s(now);
   if (ran > limits::kOverdue * expected) return false;
   return expected - ran < limits::kSoonBoots * quickest_boot_s(job);
 }
@@ -94,6 +94,15 @@
   return goals;
 }
 
+std::optional<double> Cluster::quickest_start_s(const std::string& job_class) const {
+  std::optional<double> quickest;
+  for (const auto& objective : config_.objectives) {
+    if (objective.kind != Objective::Kind::wait || objective.job_class != job_class) continue;
+    quickest = std::min(quickest.value_or(objective.within_s), objective.within_s);
+  }
+  return quickest;
+}
+
 bool Cluster::starving(const Job& job, Time now) const {
   return !job.begun && job.placements.empty() && now - job.submitted >= limits::kStarving;
 }
@@ -143,11 +152,8 @@
     each.reachable = reachable != goals.end();
     each.due = job->submitted + (each.reachable ? *reachable : goals.back());
     each.first_due = job->submitted + goals.front();
-    const bool starts_count =
-        std::any_of(config_.objectives.begin(), config_.objectives.end(), [&](const Objective& objective) {
-          return objective.kind == Objective::Kind::wait && objective.job_class == job->spec.job_class &&
-                 objective.within_s < 2 * report_round_s();
-        });
+    const auto start_s = quickest_start_s(job->spec.job_class);
+    const bool starts_count = start_s && *start_s < 2 * report_round_s();
     each.hasty = starts_count || !each.reachable ||
                  each.due - now - job->expected_s < limits::kHastyRounds * report_round_s();
     ranking_.push_back(each);
@@ -259,6 +265,10 @@
   return avoided;
 }
 
+double Cluster::fetch_s(const Job& job, const Machine& machine) const {
+  return job.spec.image_gb / std::max(limits::kLeastFetch, type_of(machine)->fetch_gb_per_s);
+}
+
 bool Cluster::fetches_image(const Machine& machine, const Job& job) {
   return std::any_of(machine.placements.begin(), machine.placements.end(),
                      [&](const PlacedTask& task) { return task.job->spec.image == job.spec.image; });
@@ -274,7 +284,7 @@
   if (!machine.spot && job.spec.spot_allowed) cost += limits::kOrdinaryWeight;
   if (!machine.failed_jobs.empty()) cost += limits::kFailedWeight;
   if (!machine.has_image(job.spec.image)) {
-    const double fetch = job.spec.image_gb / std::max(limits::kLeastFetch, type_of(machine)->fetch_gb_per_s);
+    const double fetch = fetch_s(job, machine);
     cost += fetches_image(machine, job) ? fetch * limits::kSharedFetch : fetch;
   }
   return cost;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -31,7 +31,7 @@
     const Job& other = *task.job;
     const Placement& placement = task.placement();
     if (placement.stopping || !may_stop(claimant, other)) continue;
-    const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+    const double ran = placement.ran_s(now);
     // Work for idle hours makes way before that of owners who wait for it.
     const auto above_low =
         static_cast<double>(other.spec.priority) - static_cast<double>(wire::Priority::low);
--- a/src/core/reports.cpp
+++ b/src/core/reports.cpp
@@ -250,7 +250,7 @@
     const auto& spec = task.job->spec;
     Placement& placement = task.placement();
     if (placement.stopping || placement.attempt > 1 || spec.shape != wire::Shape::array) continue;
-    const double ran_s = placement.running_since > 0 ? now - placement.running_since : 0;
+    const double ran_s = placement.ran_s(now);
     // One that is nearly through even so is better left alone; one that saves loses little.
     if (spec.checkpoint_s > 0 || ran_s < limits::kSurelySlowTimes * task.job->mean_run_s())
       stop(placement, spec.save_s);
--- a/src/core/timers.cpp
+++ b/src/core/timers.cpp
@@ -59,7 +59,7 @@
       stop_gang_for_notice(*task.job, left, now);
       continue;
     }
-    const double ran = placement.running_since > 0 ? now - placement.running_since : 0;
+    const double ran = placement.ran_s(now);
     const double remaining = std::max(0.0, task.job->expected_s - ran);
     if (spec.checkpoint_s > 0) {
       // Orders travel only with answers, so the last chance is a report period before it is needed.
--- a/tests/simulated_links.cpp
+++ b/tests/simulated_links.cpp
@@ -4,17 +4,14 @@
 namespace dockdyke::testing {
 
 net::Address Simulation::address(const std::string& host) {
-  for (const auto& [number, name] : hosts_)
-    if (name == host) return {number, 1};
-  const auto number = static_cast<std::uint32_t>(hosts_.size() + 1);
-  hosts_[number] = host;
-  return {number, 1};
+  const auto [found, added] = numbers_.try_emplace(host, static_cast<std::uint32_t>(numbers_.size() + 1));
+  if (added) hosts_[found->second] = host;
+  return {found->second, 1};
 }
 
 std::string Simulation::host_at(const net::Address& at) {
-  for (const auto& [number, name] : hosts_)
-    if (net::Address{number, 1} == at) return name;
-  return {};
+  const auto found = hosts_.find(at.ip);
+  return found == hosts_.end() ? std::string() : found->second;
 }
 
 Fate Simulation::fate(const std::string& from, const std::string& to, const std::string& target) {
--- a/tests/simulated_services.cpp
+++ b/tests/simulated_services.cpp
@@ -37,7 +37,7 @@
     simulation->run_gangs();
     simulation->check_cancelled();
     if (simulation->calm_) simulation->check_waiting();
-    co_await simulation->loop.sleep(net::seconds(0.05));
+    co_await simulation->loop.sleep(net::seconds(simulation->options_.step_s / 2));
   }
 }
 
--- a/tests/simulated_workers.cpp
+++ b/tests/simulated_workers.cpp
@@ -8,7 +8,7 @@
   co_await loop.sleep(worker->up_at - loop.now());
   while (!worker->gone_at) {
     if (worker->hung_until <= loop.now()) simulation->step(*worker, worker);
-    co_await loop.sleep(net::seconds(0.1));
+    co_await loop.sleep(net::seconds(simulation->options_.step_s));
   }
 }
 
--- a/tests/simulation.hpp
+++ b/tests/simulation.hpp
@@ -236,6 +236,7 @@
   Options options_;
   std::mt19937_64 random_;
   std::map<std::uint32_t, std::string> hosts_;
+  std::map<std::string, std::uint32_t> numbers_;  // of hosts
   std::vector<Trouble> troubles_;
   net::TimePoint outage_until_;
   std::vector<std::unique_ptr<Transport>> transports_;
--- a/tests/simulation_types.hpp
+++ b/tests/simulation_types.hpp
@@ -39,6 +39,7 @@
   core::Config config = cluster_config();
   double writes_per_second = 500;
   double writes_per_second_later = 0;  // announced; 0: nothing is
+  double step_s = 0.1;                 // between looks at each worker; the rules are checked twice as often
   std::set<int> older = {};            // controllers of the earlier version (simulated_older_version.cpp)
 };
 
