--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,7 +1,4 @@
-#include <spdlog/spdlog.h>
-
 #include <CLI/CLI.hpp>
-#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -49,8 +46,7 @@
     auto settings = app::load_settings(config);
     settings.cluster.min_machines = min_machines;
     settings.cluster.free_machines = free_machines;
-    settings.cluster.max_machines = std::min(max_machines, settings.servable_machines);
-    spdlog::info("event=fleet_bound machines={}", settings.cluster.max_machines);
+    settings.cluster.max_machines = max_machines;
     net::Loop loop;
     net::HttpClient client(loop);
     app::Node node(loop, client, std::move(settings));
--- a/src/app/settings.cpp
+++ b/src/app/settings.cpp
@@ -166,13 +166,9 @@
   out.cluster.list_lag_s = cloud.amount_or_none("list_lag_s");
   const auto resources = settings.section("resources");
   out.connections = static_cast<std::size_t>(resources.positive("fd_limit"));
-  if (const double core_share = resources.amount_or_none("core_share"); core_share > 0) {
-    const double machines = core_share * limits::kReportsPerCore * out.cluster.report_s;
-    out.servable_machines = static_cast<std::uint32_t>(std::min<double>(machines, limits::kMaxMachines));
-  }
   out.cluster.min_machines = limits::kMinMachines;
   out.cluster.free_machines = limits::kFreeMachines;
-  out.cluster.max_machines = out.servable_machines;
+  out.cluster.max_machines = limits::kMaxMachines;
   return out;
 }
 
--- a/src/app/settings.hpp
+++ b/src/app/settings.hpp
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "constants.hpp"
 #include "core/model.hpp"
 #include "net/socket.hpp"
 
@@ -34,8 +33,6 @@
   double state_write_rps_later =
       0;  // the limit after an announced change, without notice; the same without one
   std::size_t connections = 0;
-  // Machines whose reports one controller's share of a core can answer; the fleet is kept below.
-  std::uint32_t servable_machines = limits::kMaxMachines;
   core::Config cluster;
 };
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -264,10 +264,6 @@
 // any job waits for them at the most.
 inline constexpr double kOrdinarySlack = 5.0;
 inline constexpr double kOrdinaryPatience = 60.0;
-// Reports a second that a whole core answers at half load: one took 50 to 60 microseconds in simulation at
-// 4,000 machines. A leader with more machines than its share of a core serves answers nobody in time: at 4,038
-// of them on 8% of a core every lease ran out and users heard nothing for minutes.
-inline constexpr double kReportsPerCore = 8'000;
 // Machines kept at the least and free, and the most: defaults of the operators' flags.
 inline constexpr std::uint32_t kMinMachines = 0;
 inline constexpr std::uint32_t kFreeMachines = 0;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -94,17 +94,4 @@
   EXPECT_THROW(app::parse_settings("{"), app::SettingsError);
 }
 
-TEST(Settings, TheFleetIsBoundedByWhatTheShareOfACoreServes) {
-  const auto bound = [](double core_share, double report_s) {
-    Json settings = good_settings();
-    settings["settings"]["resources"]["core_share"] = core_share;
-    settings["settings"]["workers"]["report_s"] = report_s;
-    return app::parse_settings(settings.dump()).cluster.max_machines;
-  };
-  EXPECT_EQ(bound(0.08, 2.5), 1600u) << "no more than are answered before their leases run out";
-  EXPECT_EQ(bound(0.24, 8), limits::kMaxMachines);
-  EXPECT_EQ(app::parse_settings(good_settings().dump()).cluster.max_machines, limits::kMaxMachines)
-      << "where no share is named";
-}
-
 }  // namespace dockdyke::testing
