Log and count what explains a cancelled task that runs on

Cause: after an incident in which a cancelled task ran on, the logs could not tell what each leader knew of the cancellation, under which token and for how long it led, why its answers renewed a worker's lease, and why no machine was deleted. Change: leadership_lost gives token, duration and reason; state_loaded the number of readings and their time; state_load_failed; every 5 s state_view (revision, age of watch and lease) and heartbeat_responses (answers and refusals by reason). Each confirmed cancellation is followed: cancellation_confirmed, _known, cancelled_task_stop_sent, _ended, and the warning cancellation_at_risk when a third of its time is left. Single lines are bounded to 50 in 5 s. scale_in tells how long the record and the call took. core::CancellationTracker observes and decides nothing. The simulated worker reports a higher token at most once per half of a lease, as the protocol says, and the simulation checks that no answer renews a lease beyond the time of a cancelled task without a stop, and that shortly before its time such a task is certain to go; also on machines that hang past their lease.

--- a/src/app/cancellation_handler.cpp
+++ b/src/app/cancellation_handler.cpp
@@ -1,5 +1,7 @@
 #include "app/cancellation_handler.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <utility>
 
 #include "app/responses.hpp"
@@ -50,6 +52,7 @@
 }
 
 void CancellationHandler::cancelled(const JobId& id, std::uint64_t done_count) {
+  spdlog::info("event=cancellation_confirmed id={} leading={}", id.value, leadership_.leading());
   terminal_jobs_.insert(id, {JobState::cancelled, done_count, 0});
   if (leadership_.leading()) {
     leadership_.term()->push(core::JobRecordRemoved{id});
--- a/src/app/effect_executor.cpp
+++ b/src/app/effect_executor.cpp
@@ -63,17 +63,20 @@
 }
 
 net::Task<void> EffectExecutor::scale_in(core::RequestScaleIn effect) {
+  const auto requested_at = context_.now();
   if (!effect.recorded) {
     const bool written =
         co_await writer_.insert(effect.key, wire::machine_names(effect.machines), RequestPriority::normal);
     if (!written) co_return;
   }
+  const double recorded_s = context_.now() - requested_at;
   bool deleted = false;
   while (context_.alive() && !deleted) {
     const cloud::Outcome outcome = co_await context_.cloud().scale_in(effect.machines);
-    spdlog::info("event=scale_in record={} machines={} first={} outcome={}", effect.key,
-                 effect.machines.size(), effect.machines.empty() ? "" : effect.machines.front().value,
-                 net::to_string(outcome));
+    spdlog::info("event=scale_in record={} machines={} first={} recorded_s={:.2f} took_s={:.2f} outcome={}",
+                 effect.key, effect.machines.size(),
+                 effect.machines.empty() ? "" : effect.machines.front().value, recorded_s,
+                 context_.now() - requested_at, net::to_string(outcome));
     deleted = outcome == cloud::Outcome::ok;
     if (!deleted) co_await context_.loop().sleep(net::seconds(constants::kCloudRetryInterval));
   }
--- a/src/app/heartbeat_handler.cpp
+++ b/src/app/heartbeat_handler.cpp
@@ -1,5 +1,7 @@
 #include "app/heartbeat_handler.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -30,23 +32,45 @@
 
 net::Task<HttpResponse> HeartbeatHandler::handle(wire::Heartbeat heartbeat) {
   auto& loop = context_.loop();
-  if (!freshness_.may_answer_workers() || queue_.size() >= constants::kHeartbeatQueueLimit)
-    co_return service_unavailable();
+  if (!freshness_.may_answer_workers()) co_return refuse(responses_.stale_view);
+  if (queue_.size() >= constants::kHeartbeatQueueLimit) co_return refuse(responses_.queue_full);
   const net::OneShot<HeartbeatOutcome> pending(loop);
   queue_.push_back({heartbeat, pending});
   context_.events().wake();
   const std::optional<HeartbeatOutcome> outcome =
       co_await pending.wait_until(loop.now() + net::seconds(kApplyTimeoutSeconds));
-  if (!context_.alive() || outcome != HeartbeatOutcome::accepted) co_return service_unavailable();
+  if (!context_.alive() || !outcome) co_return refuse(responses_.not_applied);
+  if (outcome != HeartbeatOutcome::accepted) co_return refuse(responses_.stale_heartbeat);
   co_await holds_.wait(heartbeat.machine);
   // A later heartbeat of the machine means that it no longer waits for this response: the commands would be
   // lost.
-  if (!context_.alive() || !state_machine_.awaits_response(heartbeat)) co_return service_unavailable();
-  const auto commands = state_machine_.commands_for(heartbeat.machine, freshness_.may_start_tasks());
-  state_machine_.response_sent(heartbeat.machine, context_.now());
+  if (!context_.alive() || !state_machine_.awaits_response(heartbeat))
+    co_return refuse(responses_.stale_heartbeat);
+  const auto now = context_.now();
+  const bool allow_starts = freshness_.may_start_tasks();
+  const auto commands = state_machine_.commands_for(heartbeat.machine, allow_starts, now);
+  state_machine_.response_sent(heartbeat.machine, now);
+  ++responses_.answered;
+  if (heartbeat.token != context_.token()) ++responses_.token_shown;
+  if (!allow_starts) ++responses_.starts_withheld;
   co_return json_response(net::http_status::kOk, wire::heartbeat_response(context_.token(), commands));
 }
 
+HttpResponse HeartbeatHandler::refuse(std::size_t& count) {
+  ++count;
+  return service_unavailable();
+}
+
+void HeartbeatHandler::log_responses() {
+  const ResponseCounts counts = std::exchange(responses_, {});
+  spdlog::info(
+      "event=heartbeat_responses token={} answered={} token_shown={} starts_withheld={} stale_view={} "
+      "queue_full={} "
+      "stale_heartbeat={} not_applied={}",
+      context_.token().value, counts.answered, counts.token_shown, counts.starts_withheld, counts.stale_view,
+      counts.queue_full, counts.stale_heartbeat, counts.not_applied);
+}
+
 void HeartbeatHandler::apply_queued(core::Time now) {
   for (const auto& queued : std::exchange(queue_, {})) {
     const auto outcome = state_machine_.apply_heartbeat(queued.heartbeat, now);
--- a/src/app/heartbeat_handler.hpp
+++ b/src/app/heartbeat_handler.hpp
@@ -1,6 +1,7 @@
 // Handles workers' heartbeats on the leader (PROTOCOL, "POST /v1/report").
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <vector>
 
@@ -28,8 +29,24 @@
   // Applies the queued heartbeats; called by the main loop. Ends the term when one shows a higher token.
   void apply_queued(core::Time now);
   HeartbeatSilence silence() const;
+  // Logs how heartbeats were answered since the last call.
+  void log_responses();
 
  private:
+  // Responses since the last log line. Those with status 200 renew the worker's lease; the others are 503.
+  struct ResponseCounts {
+    std::size_t answered = 0;         // with status 200
+    std::size_t token_shown = 0;      // of these: to workers that had not shown this leader's token
+    std::size_t starts_withheld = 0;  // of these: without starts, since this leader's view may be too old
+    std::size_t stale_view = 0;       // refused: this leader's view is too old, or it is isolated
+    std::size_t queue_full = 0;       // refused
+    std::size_t stale_heartbeat = 0;  // refused: older than another one, or no longer awaited
+    std::size_t not_applied = 0;      // refused: the term ended, or the main loop did not come to it in time
+  };
+
+  // 503; counts it.
+  static net::HttpResponse refuse(std::size_t& count);
+
   struct QueuedHeartbeat {
     wire::Heartbeat heartbeat;
     net::OneShot<core::HeartbeatOutcome> outcome;
@@ -42,6 +59,7 @@
   std::vector<QueuedHeartbeat> queue_;
   net::TimePoint elected_at_;
   std::optional<net::TimePoint> last_accepted_at_;
+  ResponseCounts responses_;
 };
 
 }  // namespace dockdyke::app
--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -13,6 +13,7 @@
 LeaderTerm::LeaderTerm(TermServices services, const core::ClusterConfig& config, store::Leadership leadership,
                        net::TimePoint asked_at, Listener listener)
     : context_(services, config, leadership.token, std::move(listener.on_superseded)),
+      elected_at_(context_.now()),
       state_machine_(config, leadership.token, context_.now(), services.loop.time_of_day_ms()),
       freshness_(services.loop, config, asked_at),
       holds_(context_, state_machine_, services.max_held_responses),
@@ -22,7 +23,8 @@
       state_writer_(context_, state_machine_, std::move(listener.on_job_completed)),
       effects_(context_, guarded_writer_, key_deleter_),
       loader_(context_),
-      watcher_(context_, state_machine_, freshness_) {}
+      watcher_(context_, state_machine_, freshness_),
+      cancellation_log_(leadership.token) {}
 
 void LeaderTerm::start(const std::vector<wire::MachineType>& types) {
   context_.set_owner(weak_from_this());
@@ -69,6 +71,7 @@
     state_machine_.assign_tasks(now);
     state_writer_.start_due_writes();
     for (auto& effect : state_machine_.take_effects()) effects_.execute(std::move(effect));
+    cancellation_log_.write(state_machine_.take_cancellation_reports());
     if (write_finished) holds_.release_ready();
   }
   holds_.release_all();
@@ -81,8 +84,8 @@
   if (!records || !context_.alive()) co_return;
   for (auto& event : records->events) push(std::move(event));
   push(core::LoadCompleted{});
-  spdlog::info("event=state_loaded token={} revision={} records={}", token().value, records->revision.value,
-               records->events.size());
+  spdlog::info("event=state_loaded token={} revision={} records={} attempts={} took_s={:.2f}", token().value,
+               records->revision.value, records->events.size(), records->attempts, age_s());
   context_.spawn(watcher_.run(records->revision));
 }
 
@@ -107,7 +110,15 @@
   }
 }
 
-void LeaderTerm::log_statistics() const {
+void LeaderTerm::log_state_view() const {
+  spdlog::info(
+      "event=state_view token={} led_s={:.1f} loaded={} revision={} watch_age_s={:.1f} lease_age_s={:.1f} "
+      "failed_watches={}",
+      token().value, age_s(), state_machine_.loaded(), watcher_.watched_revision().value,
+      freshness_.watch_age_s(), freshness_.lease_age_s(), watcher_.failed_watches());
+}
+
+void LeaderTerm::log_statistics() {
   for (const auto& [offering, usage] : state_machine_.usage_by_offering())
     spdlog::debug(
         "event=offering_usage type={} zone={} spot={} machines={} booting={} empty={} cpus_used={:.0f} "
@@ -126,6 +137,9 @@
       state_machine_.jobs(), freshness_.staleness_s());
   spdlog::info("event=state_writes task_log_segments={} in_flight={} held_responses={}",
                state_machine_.task_log_segments(), state_writer_.in_flight(), holds_.size());
+  log_state_view();
+  heartbeats_.log_responses();
+  cancellation_log_.write_summary(state_machine_.cancellation_summary(context_.now()));
 }
 
 }  // namespace dockdyke::app
--- a/src/app/leader_term.hpp
+++ b/src/app/leader_term.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "app/cancellation_log.hpp"
 #include "app/effect_executor.hpp"
 #include "app/guarded_writer.hpp"
 #include "app/heartbeat_handler.hpp"
@@ -47,6 +48,8 @@
   void end() { context_.end(); }
 
   FencingToken token() const { return context_.token(); }
+  // Seconds since the election.
+  double age_s() const { return context_.now() - elected_at_; }
   // The lease was renewed by a call sent at the given moment.
   void lease_renewed(net::TimePoint sent_at) { freshness_.lease_renewed(sent_at); }
   HeartbeatSilence heartbeat_silence() const { return heartbeats_.silence(); }
@@ -67,9 +70,11 @@
   net::Task<void> load_and_watch();
   net::Task<void> refresh_machine_list();
   net::Task<void> run_timers();
-  void log_statistics() const;
+  void log_statistics();
+  void log_state_view() const;
 
   TermContext context_;
+  core::Time elected_at_;
   core::LeaderStateMachine state_machine_;
   ViewFreshness freshness_;
   ResponseHolds holds_;
@@ -80,6 +85,7 @@
   EffectExecutor effects_;
   RecordLoader loader_;
   RecordWatcher watcher_;
+  CancellationLog cancellation_log_;
 };
 
 }  // namespace dockdyke::app
--- a/src/app/record_loader.cpp
+++ b/src/app/record_loader.cpp
@@ -40,9 +40,14 @@
 RecordLoader::RecordLoader(TermContext& context) : context_(context) {}
 
 net::Task<std::optional<LoadedRecords>> RecordLoader::load() {
-  while (context_.alive()) {
+  for (std::size_t attempt = 1; context_.alive(); ++attempt) {
     std::optional<LoadedRecords> records = co_await try_load();
-    if (records) co_return records;
+    if (records) {
+      records->attempts = attempt;
+      co_return records;
+    }
+    if (attempt == 1 && context_.alive())
+      spdlog::info("event=state_load_failed token={}", context_.token().value);
     co_await context_.retry_delay();
   }
   co_return std::nullopt;
--- a/src/app/record_loader.hpp
+++ b/src/app/record_loader.hpp
@@ -1,6 +1,7 @@
 // Reads all stored records at the beginning of a leader's term.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,6 +18,7 @@
 struct LoadedRecords {
   std::vector<core::Event> events;
   Revision revision;
+  std::size_t attempts = 0;  // readings, the last of which succeeded
 };
 
 // Malformed records are logged and skipped.
--- a/src/app/record_watcher.cpp
+++ b/src/app/record_watcher.cpp
@@ -31,6 +31,7 @@
       // Whatever was cancelled before this call was sent is known now.
       freshness_.watch_completed(sent_at);
     } else {
+      ++failed_watches_;
       co_await context_.retry_delay();
     }
   }
--- a/src/app/record_watcher.hpp
+++ b/src/app/record_watcher.hpp
@@ -2,6 +2,7 @@
 // /watch").
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "app/term_context.hpp"
@@ -20,6 +21,10 @@
 
   // Watches for changes after the revision until the term ends.
   net::Task<void> run(Revision after);
+  // Up to which all changes are known.
+  Revision watched_revision() const { return watched_revision_; }
+  // Watches without a response, or refused, in this term.
+  std::size_t failed_watches() const { return failed_watches_; }
 
  private:
   void apply(const wire::KeyEvents& changes);
@@ -34,6 +39,7 @@
   const core::LeaderStateMachine& state_machine_;
   ViewFreshness& freshness_;
   Revision watched_revision_;
+  std::size_t failed_watches_ = 0;
 };
 
 }  // namespace dockdyke::app
--- a/src/app/view_freshness.cpp
+++ b/src/app/view_freshness.cpp
@@ -27,8 +27,16 @@
   }
 }
 
+double ViewFreshness::lease_age_s() const {
+  return std::chrono::duration<double>(loop_.now() - renewed_at_).count();
+}
+
+double ViewFreshness::watch_age_s() const {
+  return std::chrono::duration<double>(loop_.now() - watched_at_).count();
+}
+
 double ViewFreshness::staleness_s() const {
-  return std::chrono::duration<double>(loop_.now() - std::min(renewed_at_, watched_at_)).count();
+  return std::max(lease_age_s(), watch_age_s());
 }
 
 double ViewFreshness::max_staleness_s() const {
--- a/src/app/view_freshness.hpp
+++ b/src/app/view_freshness.hpp
@@ -23,6 +23,9 @@
 
   // Seconds since the last moment of which everything is known.
   double staleness_s() const;
+  // Seconds since the last confirmed renewal of the lease, and since the last completed watch, was asked for.
+  double lease_age_s() const;
+  double watch_age_s() const;
   // Seconds a watch may wait at the state service.
   double watch_timeout_s() const;
   // A leader cut off from the state service must not keep tasks alive for long that others may have cancelled
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -260,6 +260,8 @@
 // latest, enough for the record, the call and its retries: at most in seconds, and as a share of `cancel_s`.
 inline constexpr double kCancellationReserveMax = 12.0;
 inline constexpr double kCancellationReserveShare = 0.3;
+// Share of `cancel_s` that is left when a cancelled job with tasks on machines is reported as at risk.
+inline constexpr double kCancellationWarningShare = 1.0 / 3;
 // Number of different jobs whose tasks must fail on a machine in a row before it counts as faulty.
 inline constexpr std::size_t kFaultyMachineJobs = 2;
 // Seconds from its last failure until a faulty machine is quarantined (drained), so that the jobs have time
@@ -440,6 +442,9 @@
 inline constexpr unsigned kLatencyBins = 40;
 inline constexpr double kLatencyMin = 0.001;
 inline constexpr double kLatencyMax = 8.0;
+// Lines about single cancellations that a leader logs between two runs of its statistics; the rest is
+// counted. A zone that is cut off or a user who cancels everything would otherwise bring thousands at once.
+inline constexpr std::size_t kMaxCancellationLines = 50;
 // Seconds between log lines about user requests.
 inline constexpr double kUserLogInterval = 30.0;
 
--- /dev/null
+++ b/src/core/cancellation_tracker.cpp
@@ -0,0 +1,99 @@
+#include "core/cancellation_tracker.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "constants.hpp"
+
+namespace dockdyke::core {
+
+CancellationTracker::CancellationTracker(const ClusterState& state) : state_(state) {}
+
+void CancellationTracker::begin(const Job& job, Time now) {
+  if (job.assignments.empty()) return;
+  const bool added = progress_.try_emplace(job.serial).second;
+  if (added) reports_.push_back(report(CancellationReport::Kind::known, job, now));
+}
+
+void CancellationTracker::stop_sent(const Job& job, const Machine& machine, Time now) {
+  const auto found = progress_.find(job.serial);
+  if (found == progress_.end()) return;
+  ++found->second.stops_sent;
+  CancellationReport sent = report(CancellationReport::Kind::stop_sent, job, now);
+  sent.machine = machine.id;
+  sent.token_acknowledged = machine.token_acknowledged;
+  reports_.push_back(std::move(sent));
+}
+
+void CancellationTracker::machine_deleted(const Machine& machine) {
+  for (const auto& task : machine.assignments) {
+    const auto found = progress_.find(task.job->serial);
+    if (found != progress_.end()) ++found->second.tasks_deleted;
+  }
+}
+
+void CancellationTracker::end(const Job& job, Time now) {
+  if (!progress_.contains(job.serial)) return;
+  reports_.push_back(report(CancellationReport::Kind::ended, job, now));
+  progress_.erase(job.serial);
+}
+
+void CancellationTracker::report_at_risk(Time now) {
+  const double at_risk_s = constants::kCancellationWarningShare * state_.config().cancellation_timeout_s;
+  for (auto& [serial, progress] : progress_) {
+    const Job* job = state_.find_job(serial);
+    if (!job || progress.reported_at_risk || time_left_s(*job, now) >= at_risk_s) continue;
+    progress.reported_at_risk = true;
+    reports_.push_back(report(CancellationReport::Kind::at_risk, *job, now));
+  }
+}
+
+std::vector<CancellationReport> CancellationTracker::take_reports() {
+  return std::exchange(reports_, {});
+}
+
+CancellationSummary CancellationTracker::summary(Time now) const {
+  CancellationSummary out;
+  for (const auto& [serial, progress] : progress_) {
+    const Job* job = state_.find_job(serial);
+    if (!job) continue;
+    const double left_s = time_left_s(*job, now);
+    out.least_time_left_s = out.jobs == 0 ? left_s : std::min(out.least_time_left_s, left_s);
+    ++out.jobs;
+    out.tasks += job->assignments.size();
+  }
+  return out;
+}
+
+double CancellationTracker::time_left_s(const Job& job, Time now) const {
+  return state_.config().cancellation_timeout_s - (now - job.cancelled_at);
+}
+
+CancellationReport CancellationTracker::report(CancellationReport::Kind kind, const Job& job,
+                                               Time now) const {
+  CancellationReport out;
+  out.kind = kind;
+  out.job = job.spec.id;
+  out.time_left_s = time_left_s(job, now);
+  out.tasks = job.assignments.size();
+  const Progress& progress = progress_.at(job.serial);
+  out.stops_sent = progress.stops_sent;
+  out.tasks_deleted = progress.tasks_deleted;
+  std::set<const Machine*> machines;
+  const Machine* longest_unheard = nullptr;
+  for (const auto& [index, assignment] : job.assignments) {
+    machines.insert(assignment.machine);
+    if (!longest_unheard || assignment.machine->last_heartbeat_at < longest_unheard->last_heartbeat_at)
+      longest_unheard = assignment.machine;
+  }
+  out.machines = machines.size();
+  if (!longest_unheard) return out;
+  out.machine = longest_unheard->id;
+  out.unheard_s = now - longest_unheard->last_heartbeat_at;
+  out.token_acknowledged = longest_unheard->token_acknowledged;
+  out.deletion_requested = longest_unheard->scale_in_requested;
+  return out;
+}
+
+}  // namespace dockdyke::core
--- a/src/core/leader_state_machine.cpp
+++ b/src/core/leader_state_machine.cpp
@@ -18,14 +18,15 @@
       task_log_(state_, effects_),
       gang_records_(state_, effects_),
       writes_(state_, task_log_, gang_records_),
-      lifecycle_(state_, queue_, task_log_, effects_),
+      cancellations_(state_),
+      lifecycle_(state_, queue_, task_log_, cancellations_, effects_),
       recovery_(state_, task_log_, writes_, lifecycle_),
       gang_checkpoint_(state_, constraints_, lifecycle_, effects_),
       notices_(state_, lifecycle_, gang_checkpoint_),
       health_(state_, constraints_),
       failure_detector_(state_, constraints_, lifecycle_),
       reconciler_(state_, queue_, task_log_, writes_, lifecycle_, health_, notices_, run_time_estimator_),
-      worker_commands_(state_, constraints_, queue_),
+      worker_commands_(state_, constraints_, queue_, cancellations_),
       scale_out_(token, effects_),
       scale_in_(state_, effects_),
       inventory_(state_, scale_out_, scale_in_, lifecycle_),
@@ -149,6 +150,10 @@
   return effects_.take();
 }
 
+std::vector<CancellationReport> LeaderStateMachine::take_cancellation_reports() {
+  return cancellations_.take_reports();
+}
+
 void LeaderStateMachine::on(const WriteApplied& event, Time now) {
   for (const auto& id : writes_.applied(event.number)) lifecycle_.terminal_record_stored(id, now);
 }
@@ -199,6 +204,7 @@
   if (!state_.loaded()) return;
   task_log_.delete_obsolete_keys();
   scale_in_.request(failure_detector_.machines_holding_cancelled_tasks(now));
+  cancellations_.report_at_risk(now);
   failure_detector_.expire_leases(now);
   health_.drain_faulty_machines(now);
   gang_scheduler_.abort_incomplete_attempts(now);
@@ -223,8 +229,9 @@
 
 // ---- Responses to workers ---------------------------------------------------------------------------------
 
-std::vector<wire::Command> LeaderStateMachine::commands_for(const MachineId& machine, bool allow_starts) {
-  return worker_commands_.commands_for(machine, allow_starts);
+std::vector<wire::Command> LeaderStateMachine::commands_for(const MachineId& machine, bool allow_starts,
+                                                            Time now) {
+  return worker_commands_.commands_for(machine, allow_starts, now);
 }
 
 ResponseHold LeaderStateMachine::response_hold(const MachineId& machine, Time now) const {
--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "core/autoscaler.hpp"
+#include "core/cancellation_tracker.hpp"
 #include "core/capacity_planner.hpp"
 #include "core/cluster_state.hpp"
 #include "core/effects.hpp"
@@ -62,7 +63,7 @@
   // ---- Responses to workers ----
   // The commands for the response to the machine's last heartbeat; starts count as dispatched from here on.
   // Without `allow_starts` (the leader's view may be stale) only tasks that are there are dealt with.
-  std::vector<wire::Command> commands_for(const MachineId& machine, bool allow_starts);
+  std::vector<wire::Command> commands_for(const MachineId& machine, bool allow_starts, Time now);
   // Why the response to the machine's last heartbeat should wait.
   ResponseHold response_hold(const MachineId& machine, Time now) const;
   // The heartbeat is the machine's last one and has not been answered.
@@ -75,6 +76,8 @@
   // Seconds until `next_write` may have one; nothing where all is stored or in flight.
   std::optional<double> next_write_due_in(Time now) const;
   std::vector<Effect> take_effects();
+  // What happened to cancelled jobs since the last call.
+  std::vector<CancellationReport> take_cancellation_reports();
 
   // ---- Views ----
   FencingToken token() const { return state_.token(); }
@@ -92,6 +95,7 @@
   wire::Resources team_usage(const std::string& team) const { return state_.team_usage(team); }
   const FleetSummary& fleet_summary() const { return autoscaler_.summary(); }
   AssignmentCounts assignment_counts() const;
+  CancellationSummary cancellation_summary(Time now) const { return cancellations_.summary(now); }
   std::map<InstanceOffering, OfferingUsage> usage_by_offering() const;
   std::size_t task_log_segments() const { return task_log_.segments(); }
   // Machines and jobs looked at so far while tasks were assigned: the work that must not grow with the fleet.
@@ -132,6 +136,7 @@
   TaskLog task_log_;
   GangRecords gang_records_;
   WriteQueue writes_;
+  CancellationTracker cancellations_;
   TaskLifecycle lifecycle_;
   StateRecovery recovery_;
   // Workers
--- a/src/core/task_lifecycle.cpp
+++ b/src/core/task_lifecycle.cpp
@@ -6,8 +6,9 @@
 
 namespace dockdyke::core {
 
-TaskLifecycle::TaskLifecycle(ClusterState& state, JobQueue& queue, TaskLog& task_log, EffectQueue& effects)
-    : state_(state), queue_(queue), task_log_(task_log), effects_(effects) {}
+TaskLifecycle::TaskLifecycle(ClusterState& state, JobQueue& queue, TaskLog& task_log,
+                             CancellationTracker& cancellations, EffectQueue& effects)
+    : state_(state), queue_(queue), task_log_(task_log), cancellations_(cancellations), effects_(effects) {}
 
 // ---- Assignments ------------------------------------------------------------------------------------------
 
@@ -64,12 +65,14 @@
   release_undispatched(job, now);
   job.requeued.clear();
   job.next_unattempted = job.spec.task_count;
+  cancellations_.begin(job, now);
 }
 
 void TaskLifecycle::remove_if_finished(Job& job, Time now) {
   const bool over = job.cancelled || (job.complete() && !job.terminal_write_pending);
   if (!over || !job.assignments.empty()) return;
   const JobId id = job.spec.id;
+  cancellations_.end(job, now);
   if (job.cancelled) effects_.push(DeleteKeys{{key::terminating_job(id)}});
   if (!job.gang.keys.empty()) effects_.push(DeleteKeys{std::move(job.gang.keys)});
   task_log_.release_entries(job);
@@ -85,7 +88,10 @@
 }
 
 void TaskLifecycle::remove_machine(const MachineId& id, Time now) {
-  if (Machine* machine = state_.find_machine(id)) release_all(*machine, now);
+  if (Machine* machine = state_.find_machine(id)) {
+    cancellations_.machine_deleted(*machine);
+    release_all(*machine, now);
+  }
   state_.remove_machine(id, now);
 }
 
--- a/src/core/task_lifecycle.hpp
+++ b/src/core/task_lifecycle.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "core/cancellation_tracker.hpp"
 #include "core/cluster_state.hpp"
 #include "core/effects.hpp"
 #include "core/job_queue.hpp"
@@ -15,7 +16,8 @@
 
 class TaskLifecycle {
  public:
-  TaskLifecycle(ClusterState& state, JobQueue& queue, TaskLog& task_log, EffectQueue& effects);
+  TaskLifecycle(ClusterState& state, JobQueue& queue, TaskLog& task_log, CancellationTracker& cancellations,
+                EffectQueue& effects);
 
   // The task is proved to be off its machine, or its start was never sent: its assignment ends, and unless it
   // is done it waits for another one.
@@ -47,6 +49,7 @@
   ClusterState& state_;
   JobQueue& queue_;
   TaskLog& task_log_;
+  CancellationTracker& cancellations_;
   EffectQueue& effects_;
   std::vector<std::uint32_t> aborted_gangs_;  // serials, since the last `stop_aborted_gangs`
 };
--- a/src/core/views.hpp
+++ b/src/core/views.hpp
@@ -44,6 +44,35 @@
   std::size_t running = 0;
 };
 
+// What happened to a cancelled job that had tasks on machines.
+struct CancellationReport {
+  enum class Kind {
+    known,      // this leader knows of the cancellation and of tasks that may still run
+    stop_sent,  // a response to `machine` carries a stop command
+    at_risk,    // little time is left, and tasks may still run
+    ended,      // no task is on a machine any more
+  };
+  Kind kind = Kind::known;
+  JobId job;
+  double time_left_s = 0;         // until its tasks must be gone
+  std::size_t tasks = 0;          // that may still be on machines
+  std::size_t machines = 0;       // on which they may be
+  std::size_t stops_sent = 0;     // by this leader
+  std::size_t tasks_deleted = 0;  // that went with their machines
+  // Of the machines, the one whose last heartbeat is the oldest; with `stop_sent` the one that is answered.
+  MachineId machine;
+  double unheard_s = 0;  // since its last heartbeat, or since this leader first knew of it
+  bool token_acknowledged = false;
+  bool deletion_requested = false;
+};
+
+// Cancelled jobs with tasks that may still be on machines.
+struct CancellationSummary {
+  std::size_t jobs = 0;
+  std::size_t tasks = 0;
+  double least_time_left_s = 0;
+};
+
 // How the machines of one offering are used.
 struct OfferingUsage {
   std::size_t machines = 0;
--- a/src/core/worker_commands.cpp
+++ b/src/core/worker_commands.cpp
@@ -10,17 +10,17 @@
 using wire::CommandKind;
 
 WorkerCommands::WorkerCommands(ClusterState& state, const SchedulingConstraints& constraints,
-                               const JobQueue& queue)
-    : state_(state), constraints_(constraints), queue_(queue) {}
+                               const JobQueue& queue, CancellationTracker& cancellations)
+    : state_(state), constraints_(constraints), queue_(queue), cancellations_(cancellations) {}
 
 // ---- Commands ---------------------------------------------------------------------------------------------
 
-std::vector<Command> WorkerCommands::commands_for(const MachineId& id, bool allow_starts) {
+std::vector<Command> WorkerCommands::commands_for(const MachineId& id, bool allow_starts, Time now) {
   std::vector<Command> commands;
   Machine* machine = state_.find_machine(id);
   if (!machine || !state_.loaded() || !machine->token_acknowledged) return commands;
   add_commands_for_unassigned(*machine, commands);
-  add_commands_for_assigned(*machine, allow_starts, commands);
+  add_commands_for_assigned(*machine, allow_starts, now, commands);
   return commands;
 }
 
@@ -36,7 +36,7 @@
   }
 }
 
-void WorkerCommands::add_commands_for_assigned(Machine& machine, bool allow_starts,
+void WorkerCommands::add_commands_for_assigned(Machine& machine, bool allow_starts, Time now,
                                                std::vector<Command>& commands) const {
   const bool starts =
       allow_starts && !machine.draining && !machine.terminates_at && !machine.scale_in_requested;
@@ -46,6 +46,7 @@
     const wire::TaskId id{task.job->spec.id, task.index};
     if (assignment.stopping) {
       commands.push_back({CommandKind::stop, id, assignment.attempt, assignment.grace_s});
+      if (task.job->cancelled) cancellations_.stop_sent(*task.job, machine, now);
     } else if (starts && assignment.never_dispatched() && task.job->assignment_durable(task.index)) {
       commands.push_back({CommandKind::start, id, assignment.attempt, 0});
       assignment.dispatched = true;
--- a/src/core/worker_commands.hpp
+++ b/src/core/worker_commands.hpp
@@ -3,6 +3,7 @@
 
 #include <vector>
 
+#include "core/cancellation_tracker.hpp"
 #include "core/cluster_state.hpp"
 #include "core/job_queue.hpp"
 #include "core/scheduling_constraints.hpp"
@@ -13,12 +14,13 @@
 
 class WorkerCommands {
  public:
-  WorkerCommands(ClusterState& state, const SchedulingConstraints& constraints, const JobQueue& queue);
+  WorkerCommands(ClusterState& state, const SchedulingConstraints& constraints, const JobQueue& queue,
+                 CancellationTracker& cancellations);
 
   // The commands for the response to the machine's last heartbeat, at most `kMaxCommandsPerResponse`. Starts
   // count as dispatched from here on. Without `allow_starts` (the leader's view may be stale) only tasks that
   // are there are dealt with.
-  std::vector<wire::Command> commands_for(const MachineId& machine, bool allow_starts);
+  std::vector<wire::Command> commands_for(const MachineId& machine, bool allow_starts, Time now);
   ResponseHold response_hold(const MachineId& machine, Time now) const;
   // The heartbeat is the machine's last one and has not been answered.
   bool awaits_response(const wire::Heartbeat& heartbeat) const;
@@ -27,7 +29,7 @@
  private:
   // Stops for tasks that no record assigns, acknowledgements for exited ones.
   void add_commands_for_unassigned(Machine& machine, std::vector<wire::Command>& commands) const;
-  void add_commands_for_assigned(Machine& machine, bool allow_starts,
+  void add_commands_for_assigned(Machine& machine, bool allow_starts, Time now,
                                  std::vector<wire::Command>& commands) const;
   // Whether the worker may forget the exited task: its result must be stored before its only witness forgets
   // it.
@@ -38,6 +40,7 @@
   ClusterState& state_;
   const SchedulingConstraints& constraints_;
   const JobQueue& queue_;
+  CancellationTracker& cancellations_;
 };
 
 }  // namespace dockdyke::core
--- a/src/store/election.cpp
+++ b/src/store/election.cpp
@@ -44,18 +44,18 @@
   }
 }
 
-void Election::step_down() {
+void Election::step_down(LeadershipEnd reason) {
   if (!leadership_) return;
   leadership_.reset();
   leadership_ended_.notify();
-  listener_.on_lost();
+  listener_.on_lost(reason);
 }
 
-void Election::resign() {
+void Election::resign(LeadershipEnd reason) {
   if (!leadership_) return;
   abstain_until_ = loop_.now() + net::seconds(constants::kLeadershipTransferAbstention);
   spawn(state_.revoke(leadership_->lease));
-  step_down();
+  step_down(reason);
 }
 
 net::Task<void> Election::follow_leader() {
@@ -145,7 +145,7 @@
     listener_.on_renewed(requested_at);
   } else if (outcome == Outcome::missing) {
     spdlog::info("event=leader_lease_expired token={}", leadership_->token.value);
-    step_down();
+    step_down(LeadershipEnd::lease_expired);
     co_return;
   }
   // An outage is no reason to step down: every lease has its full time again after it (PROTOCOL, "Outages and
--- a/src/store/election.hpp
+++ b/src/store/election.hpp
@@ -9,6 +9,7 @@
 
 #include "net/loop.hpp"
 #include "net/task.hpp"
+#include "store/leadership_end.hpp"
 #include "store/state_client.hpp"
 
 namespace dockdyke::store {
@@ -34,7 +35,7 @@
     // The lease was renewed by a call sent at the given moment.
     std::function<void(net::TimePoint requested_at)> on_renewed;
     // This controller no longer leads.
-    std::function<void()> on_lost;
+    std::function<void(LeadershipEnd)> on_lost;
   };
 
   // `host` is the name under which this controller stands in the leader key.
@@ -44,10 +45,10 @@
   net::Task<void> run();
   // Ends the leadership at once: something else showed that a higher token is in force. Without effect for a
   // follower.
-  void step_down();
+  void step_down(LeadershipEnd reason);
   // Ends the leadership and its lease so that another controller is elected, and does not campaign for
   // kLeadershipTransferAbstention seconds. Without effect for a follower.
-  void resign();
+  void resign(LeadershipEnd reason);
   bool leading() const { return leadership_.has_value(); }
 
  private:
--- a/tests/core/placement_test.cpp
+++ b/tests/core/placement_test.cpp
@@ -446,7 +446,7 @@
       large.apply_heartbeat(worker.heartbeat(), time);
       large.assign_tasks(time);
       save();
-      for (const auto& command : large.commands_for(MachineId(worker.name), true)) {
+      for (const auto& command : large.commands_for(MachineId(worker.name), true, time)) {
         started += command.kind == CommandKind::start;
         worker.shows(command.task.job.value, command.task.index, command.attempt, TaskState::running);
       }
--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -271,8 +271,8 @@
   submit(job_spec("job-1", 1));
   settle();
   cluster.apply_heartbeat(worker.heartbeat(), now);
-  EXPECT_EQ(count(cluster.commands_for(MachineId("n-1"), false), CommandKind::start), 0u);
-  EXPECT_EQ(count(cluster.commands_for(MachineId("n-1"), true), CommandKind::start), 1u);
+  EXPECT_EQ(count(cluster.commands_for(MachineId("n-1"), false, now), CommandKind::start), 0u);
+  EXPECT_EQ(count(cluster.commands_for(MachineId("n-1"), true, now), CommandKind::start), 1u);
 }
 
 TEST_F(SafetyTest, FinishedJobMovesInOneTransaction) {
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -123,7 +123,7 @@
     settle();
   }
   std::vector<wire::Command> answer(Worker& worker) {
-    auto commands = cluster.commands_for(MachineId(worker.name), true);
+    auto commands = cluster.commands_for(MachineId(worker.name), true, now);
     cluster.response_sent(MachineId(worker.name), now);
     worker.token = std::max(worker.token, kToken);
     return commands;
--- a/tests/support/invariants.cpp
+++ b/tests/support/invariants.cpp
@@ -47,18 +47,60 @@
   if (job.spec.spread && zones[here.zone] > most) ADD_FAILURE() << "wrong_place: not spread";
 }
 
+std::optional<net::TimePoint> Simulation::cancellation_deadline(const JobId& id) const {
+  const SimJob& job = jobs_.at(id.value);
+  if (!job.cancelled_at) return std::nullopt;
+  return *job.cancelled_at + net::seconds(options_.config.cancellation_timeout_s);
+}
+
 void Simulation::check_cancelled() {
   for (const auto& worker : workers_)
     for (const auto& task : worker->tasks) {
-      const SimJob& job = jobs_.at(task.ref.job.value);
-      if (!job.cancelled_at || !on(*worker, task)) continue;
-      const double since_s = seconds_between(*job.cancelled_at, loop.now());
-      if (since_s > options_.config.cancellation_timeout_s)
+      const auto deadline = cancellation_deadline(task.ref.job);
+      // A machine that hangs past its worker's lease ends nothing before it goes on.
+      const bool hangs = worker->hung_until > loop.now();
+      const bool there = !worker->gone_at && task.on_machine() && (hangs || !lease_over(*worker));
+      if (!deadline || !there) continue;
+      const double left_s = seconds_between(loop.now(), *deadline);
+      if (left_s < 0)
         ADD_FAILURE() << "ran_cancelled: " << wire::spelled(task.ref) << " is on " << worker->id << " "
-                      << since_s << " s after the cancellation";
+                      << -left_s << " s after it had to be gone, t=" << time();
+      check_cancelled_task_is_ending(*worker, task, left_s);
     }
 }
 
+void Simulation::check_renewal(const SimWorker& worker) const {
+  const auto lease_end = worker.lease_from + net::seconds(options_.config.worker_lease_s);
+  for (const auto& task : worker.tasks) {
+    const auto deadline = cancellation_deadline(task.ref.job);
+    const bool ending = task.state == wire::TaskState::exited || task.state == wire::TaskState::saving;
+    if (!deadline || ending || lease_end <= *deadline) continue;
+    ADD_FAILURE() << "an answer under token " << worker.token << " renews the lease of " << worker.id << " "
+                  << seconds_between(*deadline, lease_end) << " s beyond the time of the cancelled task "
+                  << wire::spelled(task.ref) << " without a stop for it, t=" << time();
+  }
+}
+
+bool Simulation::deletion_recorded(const SimWorker& worker) const {
+  return std::any_of(store.keys.begin(), store.keys.end(), [&](const auto& each) {
+    return each.first.starts_with("return/") && each.second.value.dump().find(worker.id) != std::string::npos;
+  });
+}
+
+void Simulation::check_cancelled_task_is_ending(const SimWorker& worker, const HeldTask& task,
+                                                double left_s) const {
+  // The call of the cloud and one repetition of it.
+  constexpr double kDeletionTimeS = 2;
+  if (left_s < 0 || left_s > kDeletionTimeS || outage_until_ > loop.now()) return;
+  const double lease_left_s = options_.config.worker_lease_s - seconds_between(worker.lease_from, loop.now());
+  const bool ends_with_lease =
+      lease_left_s <= left_s && seconds_between(loop.now(), worker.hung_until) < left_s;
+  if (ends_with_lease || deletion_recorded(worker)) return;
+  ADD_FAILURE() << wire::spelled(task.ref) << " is cancelled and on " << worker.id << " with " << left_s
+                << " s left, its worker's lease lasts for " << lease_left_s
+                << " s, and no deletion is on record, t=" << time();
+}
+
 void Simulation::check_waiting() {
   constexpr double kMostS = 90;
   std::map<std::string, wire::Resources> used;                       // by team
--- a/tests/support/simulated_workers.cpp
+++ b/tests/support/simulated_workers.cpp
@@ -223,10 +223,20 @@
   if (token < worker->token || token == 0 || incarnation != worker->incarnation ||
       simulation->lease_over(*worker))
     co_return;
-  if (token > worker->token) worker->changed = true;
+  if (token > worker->token) simulation->note_higher_token(*worker);
   worker->token = token;
   worker->lease_from = sent_at;
   for (const auto& command : content->at("orders")) simulation->obey(*worker, command);
+  simulation->check_renewal(*worker);
+}
+
+void Simulation::note_higher_token(SimWorker& worker) const {
+  const bool counted_lately =
+      worker.token_reported_at != net::TimePoint{} &&
+      seconds_between(worker.token_reported_at, loop.now()) < options_.config.worker_lease_s / 2;
+  if (counted_lately) return;
+  worker.token_reported_at = loop.now();
+  worker.changed = true;
 }
 
 void Simulation::stop_task(HeldTask& task, double leeway_s) {
--- a/tests/support/simulation.hpp
+++ b/tests/support/simulation.hpp
@@ -54,6 +54,8 @@
   void die(SimWorker& worker);
   std::size_t tasks_on_machines(const std::string& id);
   const core::ClusterConfig& config() const { return options_.config; }
+  // When the job's tasks must be gone; nothing as long as no user was told of a cancellation.
+  std::optional<net::TimePoint> cancellation_deadline(const JobId& id) const;
   const SimJob& job(const std::string& id) const { return jobs_.at(id); }
   const std::map<std::string, SimJob>& all_jobs() const { return jobs_; }
   std::size_t starts() const { return starts_; }
@@ -188,6 +190,9 @@
   // Of the worker's own clock; a machine that hangs past it runs nothing when it goes on.
   bool lease_over(const SimWorker& worker) const;
 
+  // A higher token is a change to be reported, but no more than once per half of a lease.
+  void note_higher_token(SimWorker& worker) const;
+
   static const char* spelled(wire::TaskState state);
 
   static net::Task<void> heartbeat(Simulation* simulation, std::shared_ptr<SimWorker> worker);
@@ -226,6 +231,15 @@
 
   void check_cancelled();
 
+  // No answer renews a lease beyond the time by which a cancelled task on the machine must be gone, unless it
+  // carries the stop.
+  void check_renewal(const SimWorker& worker) const;
+
+  // Shortly before its time is up a cancelled task must be certain to go: with its worker's lease, or with
+  // its machine, whose deletion is on record.
+  void check_cancelled_task_is_ending(const SimWorker& worker, const HeldTask& task, double left_s) const;
+  bool deletion_recorded(const SimWorker& worker) const;
+
   // With all faults over no job waits for 90 s while a machine that fits has room and its team may use it.
   void check_waiting();
 
--- a/tests/support/simulation_types.hpp
+++ b/tests/support/simulation_types.hpp
@@ -88,6 +88,7 @@
   net::TimePoint lease_from;  // when the last answered report was sent
   net::TimePoint heartbeat_at;
   bool changed = false;
+  net::TimePoint token_reported_at;  // when a higher token last counted as a change
   net::TimePoint sent_at;
   bool in_flight = false;
   std::size_t controller = 0;
