A machine that no leader has heard is deleted before its cancelled tasks' time is up

Cause: a machine counted as silent after 2.2 heartbeat intervals without a heartbeat, and a new leader counted them from the moment at which it first knew of the machine. With leaders that change within that time a machine heard by nobody looked alive to each, and was not deleted while its cancelled tasks' time ran out: the absence of knowledge was taken for contact. One in contact that kept its task, or known only from records, was never deleted for it. Change: with 12 s left (or 0.3 of cancel_s) a machine with a cancelled task is deleted unless its worker has shown this leader's token and is not silent; with half of that left, in any case. After the time, silence decides as before.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -261,10 +261,14 @@
 // Seconds, in addition to the lag of the machine list, within which a machine known only from a record must
 // appear in the list or send a heartbeat.
 inline constexpr double kUnknownMachineGrace = 8.0;
-// Time before the end of `cancel_s` at which a silent machine with tasks of a cancelled job is deleted at the
-// latest, enough for the record, the call and its retries: at most in seconds, and as a share of `cancel_s`.
+// Time before the end of `cancel_s` at which a machine with tasks of a cancelled job is deleted if its worker
+// is not in contact with this leader: enough for a failover (3.5 s, election and loading), the record, the
+// call and its retries. At most in seconds, and as a share of `cancel_s`.
 inline constexpr double kCancellationReserveMax = 12.0;
 inline constexpr double kCancellationReserveShare = 0.3;
+// Share of that time from which on it is deleted even if its worker is in contact: responses may not reach
+// it, or it may have hung since. The record, the call and a retry still fit.
+inline constexpr double kCancellationLastResortShare = 0.5;
 // Share of `cancel_s` that is left when a cancelled job with tasks on machines is reported as at risk.
 inline constexpr double kCancellationWarningShare = 1.0 / 3;
 // Number of different jobs whose tasks must fail on a machine in a row before it counts as faulty.
--- a/src/core/failure_detector.cpp
+++ b/src/core/failure_detector.cpp
@@ -31,23 +31,43 @@
   }
 }
 
-std::vector<MachineId> FailureDetector::machines_holding_cancelled_tasks(Time now) const {
+std::optional<double> FailureDetector::cancellation_time_left_s(const Machine& machine, Time now) const {
+  std::optional<double> left_s;
+  for (const auto& task : machine.assignments) {
+    if (!task.job->cancelled) continue;
+    const double task_left_s = state_.config().cancellation_timeout_s - (now - task.job->cancelled_at);
+    left_s = std::min(task_left_s, left_s.value_or(task_left_s));
+  }
+  return left_s;
+}
+
+bool FailureDetector::in_contact(const Machine& machine, Time now) const {
+  return machine.token_acknowledged && !constraints_.silent(machine, now);
+}
+
+bool FailureDetector::cancellation_requires_deletion(const Machine& machine, Time now) const {
+  const auto left_s = cancellation_time_left_s(machine, now);
+  if (!left_s) return false;
+  const bool silent = constraints_.silent(machine, now);
   // A machine that hangs ends nothing: what it held when its lease expired it holds until it goes on or is
   // deleted. Waited for like any silent machine, some held cancelled tasks past the time that these have.
-  const double timeout_s = state_.config().cancellation_timeout_s;
+  if (silent && lease_expired(machine, now)) return true;
   const double reserve_s =
-      std::min(constants::kCancellationReserveMax, constants::kCancellationReserveShare * timeout_s);
+      std::min(constants::kCancellationReserveMax,
+               constants::kCancellationReserveShare * state_.config().cancellation_timeout_s);
+  // With the time over, deletion is no longer urgent: most often the task is gone and only the proof is
+  // missing.
+  if (*left_s <= 0) return silent;
+  // Silence starts afresh with each leader. Counted as contact, it made a machine that nobody had heard look
+  // alive to one short-lived leader after the other.
+  if (*left_s < reserve_s && !in_contact(machine, now)) return true;
+  return *left_s < constants::kCancellationLastResortShare * reserve_s;
+}
+
+std::vector<MachineId> FailureDetector::machines_holding_cancelled_tasks(Time now) const {
   std::vector<MachineId> holding;
-  for (const auto& [id, machine] : state_.machines()) {
-    if (machine.scale_in_requested || machine.state != MachineState::up || !constraints_.silent(machine, now))
-      continue;
-    const bool expired = lease_expired(machine, now);
-    const bool due =
-        std::any_of(machine.assignments.begin(), machine.assignments.end(), [&](const AssignedTask& task) {
-          return task.job->cancelled && (expired || now - task.job->cancelled_at > timeout_s - reserve_s);
-        });
-    if (due) holding.push_back(id);
-  }
+  for (const auto& [id, machine] : state_.machines())
+    if (!machine.scale_in_requested && cancellation_requires_deletion(machine, now)) holding.push_back(id);
   return holding;
 }
 
--- a/src/core/failure_detector.hpp
+++ b/src/core/failure_detector.hpp
@@ -2,6 +2,7 @@
 // else proves what became of them.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "core/cluster_state.hpp"
@@ -18,12 +19,18 @@
   // Releases the tasks of workers whose lease has expired. Tasks of cancelled jobs are kept: a machine that
   // hangs past its lease still holds them (PROTOCOL, "Leases").
   void expire_leases(Time now);
-  // Silent machines with tasks of cancelled jobs, to be deleted before the cancellation's time is up.
+  // Machines with tasks of cancelled jobs that must be deleted, since nothing else makes sure that the tasks
+  // are gone in time.
   std::vector<MachineId> machines_holding_cancelled_tasks(Time now) const;
   // Machines that have failed, never came up, are unreachable, or were drained and are empty; to be deleted.
   std::vector<MachineId> machines_to_delete(Time now) const;
 
  private:
+  // Seconds until the first cancelled task on the machine must be gone; nothing where there is none.
+  std::optional<double> cancellation_time_left_s(const Machine& machine, Time now) const;
+  bool cancellation_requires_deletion(const Machine& machine, Time now) const;
+  // The worker is in contact with this leader and not only with an earlier one.
+  bool in_contact(const Machine& machine, Time now) const;
   // The worker's lease has expired on responses of this leader only.
   bool lease_expired(const Machine& machine, Time now) const;
   bool boot_failed(const Machine& machine, Time now) const;
