--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -236,6 +236,33 @@
   EXPECT_EQ(commands[0].task.index, 0u);
 }
 
+TEST_F(SafetyTest, TaskOnAMachineThatIsBeingTakenIsStoppedByTheFirstAnswer) {
+  auto spec = job_spec("job-1", 1);
+  spec.checkpoint_interval_s = 5;
+  spec.checkpoint_duration_s = 2;
+  inherit(spec, {{0, 1, MachineId("n-1"), false}});
+  loaded();
+  Worker worker{.name = "n-1", .token = kToken - 10, .termination_notice_s = 6};
+  worker.shows("job-1", 0, 1, wire::TaskState::running);
+  heartbeat_only(worker);
+  pass(1);
+  EXPECT_EQ(count(answer(worker), CommandKind::stop), 1u);
+}
+
+TEST_F(SafetyTest, CancelledGangIsStoppedByTheFirstAnswer) {
+  auto spec = job_spec("job-1", 2);
+  spec.kind = wire::JobKind::gang;
+  cluster.apply(JobLoaded{job_record(spec), Revision(40), true}, now);
+  const GangPart part{
+      JobId("job-1"), 3, 0, 1, {{0, 3, MachineId("n-1"), false}, {1, 3, MachineId("n-1"), false}}};
+  cluster.apply(GangPartLoaded{"gang/job-1/3/0", part}, now);
+  loaded();
+  Worker worker{.name = "n-1", .token = kToken - 10};
+  worker.shows("job-1", 0, 3, wire::TaskState::running);
+  worker.shows("job-1", 1, 3, wire::TaskState::running);
+  EXPECT_EQ(count(exchange(worker), CommandKind::stop), 2u);
+}
+
 TEST_F(SafetyTest, StopsGoOutAheadOfAcknowledgements) {
   loaded();
   Worker worker{.name = "n-1", .token = kToken};
--- a/tests/scenarios/cancelled_task_test.cpp
+++ b/tests/scenarios/cancelled_task_test.cpp
@@ -12,23 +12,6 @@
 constexpr std::uint64_t kSeeds = 4;
 constexpr int kJobs = 16;  // each on a machine of its own
 
-// A lease of 45 s, heartbeats every 8 s, 75 s for a cancellation: with leaders that last for seconds, a
-// worker is answered once by each of them at most.
-core::ClusterConfig slow_heartbeats() {
-  auto config = cluster_config();
-  config.heartbeat_interval_s = 8;
-  config.worker_lease_s = 45;
-  config.cancellation_timeout_s = 75;
-  return config;
-}
-
-// Only a cancellation ends its tasks within a scenario.
-wire::JobSpec long_job(const std::string& id, TaskIndex tasks) {
-  auto spec = job_spec(id, tasks);
-  spec.estimated_run_s = 600;
-  return spec;
-}
-
 // Plays faults at fixed seconds of the simulated time.
 class Timeline {
  public:
@@ -76,7 +59,7 @@
 TEST(CancelledTask, IsStoppedByTheFirstAnswerOfEachLeader) {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     SCOPED_TRACE(seed);
-    Simulation simulation({.seed = seed, .controllers = kControllers, .config = slow_heartbeats()});
+    Simulation simulation({.seed = seed, .controllers = kControllers, .config = slow_heartbeat_config()});
     Timeline timeline(simulation);
     start_long_jobs(simulation, kJobs);
     timeline.run_until(44);
@@ -118,7 +101,7 @@
 TEST(CancelledTask, GoesWithItsMachineThatNoLeaderHasHeard) {
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     SCOPED_TRACE(seed);
-    Simulation simulation({.seed = seed, .controllers = kControllers, .config = slow_heartbeats()});
+    Simulation simulation({.seed = seed, .controllers = kControllers, .config = slow_heartbeat_config()});
     Timeline timeline(simulation);
     start_long_jobs(simulation, 3);
     timeline.run_until(44);
--- a/tests/scenarios/fault_combination_test.cpp
+++ b/tests/scenarios/fault_combination_test.cpp
@@ -8,13 +8,6 @@
 
 namespace {
 
-// Long tasks, so that only a cancellation ends them within a scenario.
-wire::JobSpec long_job(const std::string& id, TaskIndex tasks) {
-  auto spec = job_spec(id, tasks);
-  spec.estimated_run_s = 400;
-  return spec;
-}
-
 bool all_running(Simulation& simulation, const std::string& id) {
   return simulation.tasks_on_machines(id) == simulation.job(id).spec.task_count;
 }
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -43,6 +43,13 @@
   return spec;
 }
 
+// Long tasks, so that only a cancellation ends them within a scenario.
+inline wire::JobSpec long_job(const std::string& id, TaskIndex tasks) {
+  auto spec = job_spec(id, tasks);
+  spec.estimated_run_s = 400;
+  return spec;
+}
+
 inline ClusterConfig cluster_config() {
   ClusterConfig config;
   config.teams = {{"team", {}, {}}, {"other", {}, {}}};
@@ -56,6 +63,16 @@
   return config;
 }
 
+// A lease of 45 s, heartbeats every 8 s, 75 s for a cancellation: with leaders that last for seconds, a
+// worker is answered once by each of them at most.
+inline ClusterConfig slow_heartbeat_config() {
+  auto config = cluster_config();
+  config.heartbeat_interval_s = 8;
+  config.worker_lease_s = 45;
+  config.cancellation_timeout_s = 75;
+  return config;
+}
+
 inline JobRecord job_record(const wire::JobSpec& spec) {
   JobRecord record;
   record.spec = spec;
