One rule for the types a job can run on; one log line a response for the stops of a job

Cause: two places decided alike whether a job can run on a machine type, and a third searched the teams by hand; the log of stops had a line for each task. Change: core::can_run_on and ClusterConfig::find_team serve all; stops of one job in one response are one line with their number.

--- a/src/app/cancellation_log.cpp
+++ b/src/app/cancellation_log.cpp
@@ -33,8 +33,9 @@
       break;
     case CancellationReport::Kind::stop_sent:
       spdlog::info(
-          "event=cancelled_task_stop_sent token={} id={} machine={} token_acknowledged={} time_left_s={:.1f}",
-          token_.value, report.job.value, report.machine.value, report.token_acknowledged,
+          "event=cancelled_task_stop_sent token={} id={} machine={} tasks={} token_acknowledged={} "
+          "time_left_s={:.1f}",
+          token_.value, report.job.value, report.machine.value, report.stops_sent, report.token_acknowledged,
           report.time_left_s);
       break;
     case CancellationReport::Kind::at_risk:
--- a/src/app/job_feasibility.cpp
+++ b/src/app/job_feasibility.cpp
@@ -1,18 +1,18 @@
 #include "app/job_feasibility.hpp"
 
-#include <algorithm>
 #include <set>
 #include <string>
 
+#include "core/task_fit.hpp"
+
 namespace dockdyke::app {
 
 JobFeasibility::JobFeasibility(const core::ClusterConfig& config, const MachineTypeCatalog& catalog)
     : config_(config), catalog_(catalog) {}
 
 bool JobFeasibility::quota_suffices(const wire::JobSpec& spec) const {
-  const auto team = std::find_if(config_.teams.begin(), config_.teams.end(),
-                                 [&](const core::Team& each) { return each.name == spec.team; });
-  if (team == config_.teams.end()) return false;
+  const core::Team* team = config_.find_team(spec.team);
+  if (!team) return false;
   // Tasks of an array may run one after the other; all others have to run together.
   const auto required = spec.task_resources * (spec.kind == wire::JobKind::array ? 1.0 : spec.task_count);
   const auto& quota = team->quota;  // 0: no limit
@@ -21,11 +21,9 @@
 }
 
 std::size_t JobFeasibility::count_possible_zones(const wire::JobSpec& spec) const {
-  const auto& allowed = spec.machine_types;
   std::set<std::string> zones;
   for (const auto& type : catalog_.types()) {
-    if (allowed && std::find(allowed->begin(), allowed->end(), type.name) == allowed->end()) continue;
-    if (!spec.task_resources.fits_into(type.size)) continue;
+    if (!core::can_run_on(spec, type)) continue;
     for (const auto& zone : type.zones)
       if (!spec.zone || *spec.zone == zone) zones.insert(zone);
   }
--- a/src/core/cancellation_tracker.cpp
+++ b/src/core/cancellation_tracker.cpp
@@ -20,7 +20,15 @@
   const auto found = progress_.find(job.serial);
   if (found == progress_.end()) return;
   ++found->second.stops_sent;
+  const bool same_response = !reports_.empty() &&
+                             reports_.back().kind == CancellationReport::Kind::stop_sent &&
+                             reports_.back().job == job.spec.id && reports_.back().machine == machine.id;
+  if (same_response) {
+    ++reports_.back().stops_sent;
+    return;
+  }
   CancellationReport sent = report(CancellationReport::Kind::stop_sent, job, now);
+  sent.stops_sent = 1;
   sent.machine = machine.id;
   sent.token_acknowledged = machine.token_acknowledged;
   reports_.push_back(std::move(sent));
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "constants.hpp"
+#include "core/task_fit.hpp"
 
 namespace dockdyke::core {
 
@@ -156,12 +157,8 @@
 }
 
 void ClusterState::update_compatible_types(Job& job) const {
-  const auto& named = job.spec.machine_types;
   job.compatible_types.assign(types_.size(), false);
-  for (std::size_t i = 0; i < types_.size(); ++i)
-    job.compatible_types[i] =
-        job.spec.task_resources.fits_into(types_[i].size) &&
-        (!named || std::find(named->begin(), named->end(), types_[i].name) != named->end());
+  for (std::size_t i = 0; i < types_.size(); ++i) job.compatible_types[i] = can_run_on(job.spec, types_[i]);
 }
 
 // ---- Assignments ------------------------------------------------------------------------------------------
--- a/src/core/task_fit.cpp
+++ b/src/core/task_fit.cpp
@@ -7,6 +7,13 @@
 
 namespace dockdyke::core {
 
+bool can_run_on(const wire::JobSpec& spec, const wire::MachineType& type) {
+  const auto& allowed = spec.machine_types;
+  const bool type_allowed =
+      !allowed || std::find(allowed->begin(), allowed->end(), type.name) != allowed->end();
+  return type_allowed && spec.task_resources.fits_into(type.size);
+}
+
 std::size_t tasks_fitting(const wire::Resources& task, const wire::Resources& free) {
   constexpr double kRounding = 1e-6;
   double count = constants::kMaxDemandTasks;
--- a/src/core/views.hpp
+++ b/src/core/views.hpp
@@ -57,7 +57,7 @@
   double time_left_s = 0;         // until its tasks must be gone
   std::size_t tasks = 0;          // that may still be on machines
   std::size_t machines = 0;       // on which they may be
-  std::size_t stops_sent = 0;     // by this leader
+  std::size_t stops_sent = 0;     // by this leader; with `stop_sent`, in this response
   std::size_t tasks_deleted = 0;  // that went with their machines
   // Of the machines, the one whose last heartbeat is the oldest; with `stop_sent` the one that is answered.
   MachineId machine;
--- a/tests/core/cancellation_tracker_test.cpp
+++ b/tests/core/cancellation_tracker_test.cpp
@@ -63,4 +63,20 @@
   EXPECT_EQ(reports[0].tasks_deleted, 1u);
 }
 
+TEST_F(CancellationTrackerTest, StopsInOneResponseAreOneReport) {
+  submit(job_spec("job-2", 2));
+  Worker second{"n-2"};
+  exchange(second);
+  exchange(second);
+  second.shows("job-2", 0, 1, wire::TaskState::running);
+  second.shows("job-2", 1, 1, wire::TaskState::running);
+  exchange(second);
+  cluster.apply(JobRecordRemoved{JobId("job-2")}, now);
+  reported_kinds();
+  exchange(second);
+  const auto reports = cluster.take_cancellation_reports();
+  ASSERT_EQ(reports.size(), 1u);
+  EXPECT_EQ(reports[0].stops_sent, 2u);
+}
+
 }  // namespace dockdyke::testing
