Names and comments of the counted answers

Cause: a counter was named for the contrary of what it counts, and a format string was broken in two. Change: unacknowledged counts answers to workers that had not shown the leader's token.

--- a/src/app/heartbeat_handler.cpp
+++ b/src/app/heartbeat_handler.cpp
@@ -46,7 +46,7 @@
   const auto commands = state_machine_.commands_for(heartbeat.machine, allow_starts, now);
   state_machine_.response_sent(heartbeat.machine, now);
   ++responses_.answered;
-  if (heartbeat.token != context_.token()) ++responses_.token_shown;
+  if (heartbeat.token != context_.token()) ++responses_.unacknowledged;
   if (!allow_starts) ++responses_.starts_withheld;
   co_return json_response(net::http_status::kOk, wire::heartbeat_response(context_.token(), commands));
 }
@@ -59,11 +59,10 @@
 void HeartbeatHandler::log_responses() {
   const ResponseCounts counts = std::exchange(responses_, {});
   spdlog::info(
-      "event=heartbeat_responses token={} answered={} token_shown={} starts_withheld={} stale_view={} "
-      "queue_full={} "
-      "stale_heartbeat={} not_loaded={} not_applied={}",
-      context_.token().value, counts.answered, counts.token_shown, counts.starts_withheld, counts.stale_view,
-      counts.queue_full, counts.stale_heartbeat, counts.not_loaded, counts.not_applied);
+      "event=heartbeat_responses token={} answered={} unacknowledged={} starts_withheld={} stale_view={} "
+      "queue_full={} stale_heartbeat={} not_loaded={} not_applied={}",
+      context_.token().value, counts.answered, counts.unacknowledged, counts.starts_withheld,
+      counts.stale_view, counts.queue_full, counts.stale_heartbeat, counts.not_loaded, counts.not_applied);
 }
 
 double HeartbeatHandler::apply_timeout_s() const {
--- a/src/app/heartbeat_handler.hpp
+++ b/src/app/heartbeat_handler.hpp
@@ -36,7 +36,7 @@
   // Responses since the last log line. Those with status 200 renew the worker's lease; the others are 503.
   struct ResponseCounts {
     std::size_t answered = 0;         // with status 200
-    std::size_t token_shown = 0;      // of these: to workers that had not shown this leader's token
+    std::size_t unacknowledged = 0;   // of these: to workers that had not shown this leader's token
     std::size_t starts_withheld = 0;  // of these: without starts, since this leader's view may be too old
     std::size_t stale_view = 0;       // refused: this leader's view is too old, or it is isolated
     std::size_t queue_full = 0;       // refused
@@ -62,8 +62,8 @@
   ResponseHolds& holds_;
   std::vector<QueuedHeartbeat> queue_;
   net::TimePoint elected_at_;
-  std::optional<net::TimePoint>
-      last_received_at_;  // the last heartbeat that was accepted, or came before loading
+  // When the last heartbeat came that was accepted, or could not be yet since the records were not loaded.
+  std::optional<net::TimePoint> last_received_at_;
   ResponseCounts responses_;
 };
 
--- a/src/core/worker_commands.cpp
+++ b/src/core/worker_commands.cpp
@@ -30,9 +30,8 @@
   Machine* machine = state_.find_machine(id);
   if (!machine || !state_.loaded()) return {};
   CommandList commands;
-  // Whatever is to be stopped has ended under every token. Kept back until the worker had shown this
-  // leader's, stops never reached workers whose leaders changed with each heartbeat, while each answer
-  // renewed their lease.
+  // Stops are right under every token. Kept back until the worker had shown this leader's, they never reached
+  // workers whose leaders changed with each heartbeat, while each answer renewed their lease.
   add_stops(*machine, now, commands);
   if (machine->token_acknowledged) {
     add_acknowledgements(*machine, commands);
