Reporting a stop no longer looks at all tasks of its job

Cause: the report of a stop, made for each response, walked all assignments of the job to find machines that its log line does not show. Cancelling a job with a task on each machine of a large fleet cost a look at the whole job a response. Change: only the reports of a new cancellation and of one at risk, one a job each, describe the machines. No test fails without the change: the cost was found by reading, not measured.

--- a/src/core/cancellation_tracker.cpp
+++ b/src/core/cancellation_tracker.cpp
@@ -8,12 +8,36 @@
 
 namespace dockdyke::core {
 
+namespace {
+
+// Adds the number of the job's machines, and which of them has not been heard for the longest time. Looks at
+// all tasks of the job.
+void describe_machines(const Job& job, Time now, CancellationReport& report) {
+  std::set<const Machine*> machines;
+  const Machine* longest_unheard = nullptr;
+  for (const auto& [index, assignment] : job.assignments) {
+    machines.insert(assignment.machine);
+    if (!longest_unheard || assignment.machine->last_heartbeat_at < longest_unheard->last_heartbeat_at)
+      longest_unheard = assignment.machine;
+  }
+  report.machines = machines.size();
+  if (!longest_unheard) return;
+  report.machine = longest_unheard->id;
+  report.unheard_s = now - longest_unheard->last_heartbeat_at;
+  report.token_acknowledged = longest_unheard->token_acknowledged;
+  report.deletion_requested = longest_unheard->scale_in_requested;
+}
+
+}  // namespace
+
 CancellationTracker::CancellationTracker(const ClusterState& state) : state_(state) {}
 
 void CancellationTracker::begin(const Job& job, Time now) {
   if (job.assignments.empty()) return;
   const bool added = progress_.try_emplace(job.serial).second;
-  if (added) reports_.push_back(report(CancellationReport::Kind::known, job, now));
+  if (!added) return;
+  reports_.push_back(report(CancellationReport::Kind::known, job, now));
+  describe_machines(job, now, reports_.back());
 }
 
 void CancellationTracker::stop_sent(const Job& job, const Machine& machine, Time now) {
@@ -27,6 +51,7 @@
     ++reports_.back().stops_sent;
     return;
   }
+  // Once a response: a look at all tasks of the job here would be one a machine of a large fleet.
   CancellationReport sent = report(CancellationReport::Kind::stop_sent, job, now);
   sent.stops_sent = 1;
   sent.machine = machine.id;
@@ -54,6 +79,7 @@
     if (!job || progress.reported_at_risk || time_left_s(*job, now) >= at_risk_s) continue;
     progress.reported_at_risk = true;
     reports_.push_back(report(CancellationReport::Kind::at_risk, *job, now));
+    describe_machines(*job, now, reports_.back());
   }
 }
 
@@ -88,19 +114,6 @@
   const Progress& progress = progress_.at(job.serial);
   out.stops_sent = progress.stops_sent;
   out.tasks_deleted = progress.tasks_deleted;
-  std::set<const Machine*> machines;
-  const Machine* longest_unheard = nullptr;
-  for (const auto& [index, assignment] : job.assignments) {
-    machines.insert(assignment.machine);
-    if (!longest_unheard || assignment.machine->last_heartbeat_at < longest_unheard->last_heartbeat_at)
-      longest_unheard = assignment.machine;
-  }
-  out.machines = machines.size();
-  if (!longest_unheard) return out;
-  out.machine = longest_unheard->id;
-  out.unheard_s = now - longest_unheard->last_heartbeat_at;
-  out.token_acknowledged = longest_unheard->token_acknowledged;
-  out.deletion_requested = longest_unheard->scale_in_requested;
   return out;
 }
 
