--- a/src/app/heartbeat_handler.cpp
+++ b/src/app/heartbeat_handler.cpp
@@ -15,13 +15,6 @@
 using core::HeartbeatOutcome;
 using net::HttpResponse;
 
-namespace {
-
-// The main loop applies queued heartbeats within a turn; a longer wait means that the term has ended.
-constexpr double kApplyTimeoutSeconds = 1.0;
-
-}  // namespace
-
 HeartbeatHandler::HeartbeatHandler(TermContext& context, core::LeaderStateMachine& state_machine,
                                    const ViewFreshness& freshness, ResponseHolds& holds)
     : context_(context),
@@ -34,11 +27,13 @@
   auto& loop = context_.loop();
   if (!freshness_.may_answer_workers()) co_return refuse(responses_.stale_view);
   if (queue_.size() >= constants::kHeartbeatQueueLimit) co_return refuse(responses_.queue_full);
+  if (!state_machine_.loaded()) last_received_at_ = loop.now();
   const net::OneShot<HeartbeatOutcome> pending(loop);
-  queue_.push_back({heartbeat, pending});
+  const auto deadline = loop.now() + net::seconds(apply_timeout_s());
+  queue_.push_back({heartbeat, pending, deadline});
   context_.events().wake();
-  const std::optional<HeartbeatOutcome> outcome =
-      co_await pending.wait_until(loop.now() + net::seconds(kApplyTimeoutSeconds));
+  const std::optional<HeartbeatOutcome> outcome = co_await pending.wait_until(deadline);
+  if (!state_machine_.loaded()) co_return refuse(responses_.not_loaded);
   if (!context_.alive() || !outcome) co_return refuse(responses_.not_applied);
   if (outcome != HeartbeatOutcome::accepted) co_return refuse(responses_.stale_heartbeat);
   co_await holds_.wait(heartbeat.machine);
@@ -66,16 +61,24 @@
   spdlog::info(
       "event=heartbeat_responses token={} answered={} token_shown={} starts_withheld={} stale_view={} "
       "queue_full={} "
-      "stale_heartbeat={} not_applied={}",
+      "stale_heartbeat={} not_loaded={} not_applied={}",
       context_.token().value, counts.answered, counts.token_shown, counts.starts_withheld, counts.stale_view,
-      counts.queue_full, counts.stale_heartbeat, counts.not_applied);
+      counts.queue_full, counts.stale_heartbeat, counts.not_loaded, counts.not_applied);
+}
+
+double HeartbeatHandler::apply_timeout_s() const {
+  return state_machine_.loaded() ? constants::kHeartbeatApplyTimeout : constants::kHeartbeatLoadTimeout;
 }
 
 void HeartbeatHandler::apply_queued(core::Time now) {
+  // A leader that has not read the records does not know which tasks are cancelled, and an answer would renew
+  // the lease of a worker that runs them.
+  if (!state_machine_.loaded()) return;
   for (const auto& queued : std::exchange(queue_, {})) {
+    if (queued.deadline <= context_.loop().now()) continue;  // refused meanwhile
     const auto outcome = state_machine_.apply_heartbeat(queued.heartbeat, now);
     queued.outcome.set(outcome);
-    if (outcome == HeartbeatOutcome::accepted) last_accepted_at_ = context_.loop().now();
+    if (outcome == HeartbeatOutcome::accepted) last_received_at_ = context_.loop().now();
     if (outcome == HeartbeatOutcome::superseded) {
       context_.report_superseded();
       return;
@@ -84,9 +87,9 @@
 }
 
 HeartbeatSilence HeartbeatHandler::silence() const {
-  const auto since = last_accepted_at_.value_or(elected_at_);
+  const auto since = last_received_at_.value_or(elected_at_);
   HeartbeatSilence silence;
-  silence.any_heartbeat_received = last_accepted_at_.has_value();
+  silence.any_heartbeat_received = last_received_at_.has_value();
   silence.duration_s = std::chrono::duration<double>(context_.loop().now() - since).count();
   silence.threshold_s = constants::kHeartbeatSilenceMin;
   if (silence.duration_s < silence.threshold_s) return silence;  // no need to count the machines
--- a/src/app/heartbeat_handler.hpp
+++ b/src/app/heartbeat_handler.hpp
@@ -23,8 +23,8 @@
   HeartbeatHandler(TermContext& context, core::LeaderStateMachine& state_machine,
                    const ViewFreshness& freshness, ResponseHolds& holds);
 
-  // Queues the heartbeat and responds once it is applied: 200 with commands, or 503 where this leader must
-  // not respond or the response would come too late.
+  // Queues the heartbeat and responds once it is applied, which is not before the stored records are loaded:
+  // 200 with commands, or 503 where this leader must not respond or the response would come too late.
   net::Task<net::HttpResponse> handle(wire::Heartbeat heartbeat);
   // Applies the queued heartbeats; called by the main loop. Ends the term when one shows a higher token.
   void apply_queued(core::Time now);
@@ -41,15 +41,19 @@
     std::size_t stale_view = 0;       // refused: this leader's view is too old, or it is isolated
     std::size_t queue_full = 0;       // refused
     std::size_t stale_heartbeat = 0;  // refused: older than another one, or no longer awaited
+    std::size_t not_loaded = 0;       // refused: this leader had not read the records in time
     std::size_t not_applied = 0;      // refused: the term ended, or the main loop did not come to it in time
   };
 
+  // Seconds a heartbeat may wait until it is applied.
+  double apply_timeout_s() const;
   // 503; counts it.
   static net::HttpResponse refuse(std::size_t& count);
 
   struct QueuedHeartbeat {
     wire::Heartbeat heartbeat;
     net::OneShot<core::HeartbeatOutcome> outcome;
+    net::TimePoint deadline;  // refused from then on
   };
 
   TermContext& context_;
@@ -58,7 +62,8 @@
   ResponseHolds& holds_;
   std::vector<QueuedHeartbeat> queue_;
   net::TimePoint elected_at_;
-  std::optional<net::TimePoint> last_accepted_at_;
+  std::optional<net::TimePoint>
+      last_received_at_;  // the last heartbeat that was accepted, or came before loading
   ResponseCounts responses_;
 };
 
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -240,6 +240,11 @@
 // Heartbeat intervals within which every machine has sent a heartbeat: one and a quarter, and the time until
 // the response arrives.
 inline constexpr double kHeartbeatRoundFactor = 1.3;
+// Seconds a heartbeat may wait until the main loop applies it, which takes a turn: a longer wait means that
+// the term has ended. Until a new leader has read the records, usually in less than a tenth of a second, it
+// waits longer. Workers wait 4 s.
+inline constexpr double kHeartbeatApplyTimeout = 1.0;
+inline constexpr double kHeartbeatLoadTimeout = 2.5;
 // Heartbeats queued at the leader; further ones get a 503, which slows down the workers. Twice a fleet of
 // 4,000, whose workers all send heartbeats at once after a failover.
 inline constexpr std::size_t kHeartbeatQueueLimit = 8192;
--- a/src/core/reconciler.cpp
+++ b/src/core/reconciler.cpp
@@ -35,11 +35,14 @@
     return HeartbeatOutcome::stale;
   update_connection(machine, heartbeat, now);
   state_.request_assignment_pass();
-  // Before the worker has shown this leader's token an earlier leader may still change what it runs: nothing
-  // that is absent from this heartbeat is proved gone.
-  if (machine.token_acknowledged && state_.loaded()) {
+  if (!state_.loaded()) return HeartbeatOutcome::accepted;
+  if (machine.token_acknowledged) {
     reconcile_tasks(machine, heartbeat, now);
     notices_.apply(machine, now);
+  } else {
+    // An earlier leader may still change what the worker runs: nothing that is absent from this heartbeat is
+    // proved gone, but what it shows and no record assigns is to be stopped.
+    note_unassigned_tasks(machine, heartbeat);
   }
   return HeartbeatOutcome::accepted;
 }
@@ -93,7 +96,7 @@
 
 // The assignment that the reported task is of; nothing where it is another attempt or on another machine.
 TaskAssignment* find_assignment(Job& job, const Machine& machine, const ReportedTask& reported) {
-  auto found = job.assignments.find(reported.task.index);
+  const auto found = job.assignments.find(reported.task.index);
   if (found == job.assignments.end()) return nullptr;
   TaskAssignment& assignment = found->second;
   return assignment.machine == &machine && assignment.attempt == reported.attempt ? &assignment : nullptr;
@@ -101,6 +104,16 @@
 
 }  // namespace
 
+void Reconciler::note_unassigned_tasks(Machine& machine, const wire::Heartbeat& heartbeat) {
+  machine.unassigned_tasks.clear();
+  for (const auto& reported : heartbeat.tasks) {
+    Job* job = state_.find_job(reported.task.job);
+    const bool assigned = job && find_assignment(*job, machine, reported);
+    if (!assigned && reported.state != TaskState::exited) machine.unassigned_tasks.push_back(reported);
+  }
+  machine.runs_unknown_tasks = !machine.unassigned_tasks.empty();
+}
+
 Reconciler::Observation Reconciler::observe_tasks(Machine& machine, const wire::Heartbeat& heartbeat,
                                                   Time now) {
   const auto acknowledged = std::exchange(machine.acknowledged_exits, {});
--- a/src/core/reconciler.hpp
+++ b/src/core/reconciler.hpp
@@ -41,6 +41,8 @@
   };
 
   void update_connection(Machine& machine, const wire::Heartbeat& heartbeat, Time now);
+  // Notes the tasks that run on the machine and that no record assigns to it.
+  void note_unassigned_tasks(Machine& machine, const wire::Heartbeat& heartbeat);
   void reconcile_tasks(Machine& machine, const wire::Heartbeat& heartbeat, Time now);
   Observation observe_tasks(Machine& machine, const wire::Heartbeat& heartbeat, Time now);
   void observe_assignment(Machine& machine, Job& job, TaskAssignment& assignment,
--- a/src/core/worker_commands.cpp
+++ b/src/core/worker_commands.cpp
@@ -1,6 +1,7 @@
 #include "core/worker_commands.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "constants.hpp"
 
@@ -15,43 +16,65 @@
 
 // ---- Commands ---------------------------------------------------------------------------------------------
 
+class WorkerCommands::CommandList {
+ public:
+  bool full() const { return commands_.size() >= constants::kMaxCommandsPerResponse; }
+  void add(Command command) { commands_.push_back(std::move(command)); }
+  std::vector<Command> take() { return std::move(commands_); }
+
+ private:
+  std::vector<Command> commands_;
+};
+
 std::vector<Command> WorkerCommands::commands_for(const MachineId& id, bool allow_starts, Time now) {
-  std::vector<Command> commands;
   Machine* machine = state_.find_machine(id);
-  if (!machine || !state_.loaded() || !machine->token_acknowledged) return commands;
-  add_commands_for_unassigned(*machine, commands);
-  add_commands_for_assigned(*machine, allow_starts, now, commands);
-  return commands;
+  if (!machine || !state_.loaded()) return {};
+  CommandList commands;
+  // Whatever is to be stopped has ended under every token. Kept back until the worker had shown this
+  // leader's, stops never reached workers whose leaders changed with each heartbeat, while each answer
+  // renewed their lease.
+  add_stops(*machine, now, commands);
+  if (machine->token_acknowledged) {
+    add_acknowledgements(*machine, commands);
+    const bool takes_work = !machine->draining && !machine->terminates_at && !machine->scale_in_requested;
+    if (allow_starts && takes_work) add_starts(*machine, commands);
+  }
+  return commands.take();
+}
+
+void WorkerCommands::add_stops(const Machine& machine, Time now, CommandList& commands) const {
+  for (const auto& task : machine.unassigned_tasks) {
+    if (commands.full()) return;
+    if (task.state != wire::TaskState::exited) commands.add({CommandKind::stop, task.task, task.attempt, 0});
+  }
+  for (const auto& task : machine.assignments) {
+    if (commands.full()) return;
+    const TaskAssignment& assignment = task.assignment();
+    if (!assignment.stopping) continue;
+    commands.add(
+        {CommandKind::stop, {task.job->spec.id, task.index}, assignment.attempt, assignment.grace_s});
+    if (task.job->cancelled) cancellations_.stop_sent(*task.job, machine, now);
+  }
 }
 
-void WorkerCommands::add_commands_for_unassigned(Machine& machine, std::vector<Command>& commands) const {
+void WorkerCommands::add_acknowledgements(Machine& machine, CommandList& commands) const {
   for (const auto& task : machine.unassigned_tasks) {
-    if (commands.size() >= constants::kMaxCommandsPerResponse) return;
-    if (task.state != wire::TaskState::exited) {
-      commands.push_back({CommandKind::stop, task.task, task.attempt, 0});
-    } else if (may_acknowledge(task)) {
-      commands.push_back({CommandKind::acknowledge, task.task, task.attempt, 0});
-      machine.acknowledged_exits.push_back({task.task, task.attempt});
-    }
+    if (commands.full()) return;
+    if (task.state != wire::TaskState::exited || !may_acknowledge(task)) continue;
+    commands.add({CommandKind::acknowledge, task.task, task.attempt, 0});
+    machine.acknowledged_exits.push_back({task.task, task.attempt});
   }
 }
 
-void WorkerCommands::add_commands_for_assigned(Machine& machine, bool allow_starts, Time now,
-                                               std::vector<Command>& commands) const {
-  const bool starts =
-      allow_starts && !machine.draining && !machine.terminates_at && !machine.scale_in_requested;
+void WorkerCommands::add_starts(Machine& machine, CommandList& commands) const {
   for (const auto& task : machine.assignments) {
-    if (commands.size() >= constants::kMaxCommandsPerResponse) return;
+    if (commands.full()) return;
     TaskAssignment& assignment = task.assignment();
-    const wire::TaskId id{task.job->spec.id, task.index};
-    if (assignment.stopping) {
-      commands.push_back({CommandKind::stop, id, assignment.attempt, assignment.grace_s});
-      if (task.job->cancelled) cancellations_.stop_sent(*task.job, machine, now);
-    } else if (starts && assignment.never_dispatched() && task.job->assignment_durable(task.index)) {
-      commands.push_back({CommandKind::start, id, assignment.attempt, 0});
-      assignment.dispatched = true;
-      assignment.dispatched_incarnation = machine.incarnation;
-    }
+    if (assignment.stopping || !assignment.never_dispatched() || !task.job->assignment_durable(task.index))
+      continue;
+    commands.add({CommandKind::start, {task.job->spec.id, task.index}, assignment.attempt, 0});
+    assignment.dispatched = true;
+    assignment.dispatched_incarnation = machine.incarnation;
   }
 }
 
--- a/src/core/worker_commands.hpp
+++ b/src/core/worker_commands.hpp
@@ -17,9 +17,10 @@
   WorkerCommands(ClusterState& state, const SchedulingConstraints& constraints, const JobQueue& queue,
                  CancellationTracker& cancellations);
 
-  // The commands for the response to the machine's last heartbeat, at most `kMaxCommandsPerResponse`. Starts
-  // count as dispatched from here on. Without `allow_starts` (the leader's view may be stale) only tasks that
-  // are there are dealt with.
+  // The commands for the response to the machine's last heartbeat, at most `kMaxCommandsPerResponse`, stops
+  // first. Starts count as dispatched from here on. Without `allow_starts` (the leader's view may be stale)
+  // only tasks that are there are dealt with. A worker that has not shown this leader's token gets only
+  // stops.
   std::vector<wire::Command> commands_for(const MachineId& machine, bool allow_starts, Time now);
   ResponseHold response_hold(const MachineId& machine, Time now) const;
   // The heartbeat is the machine's last one and has not been answered.
@@ -27,10 +28,13 @@
   void response_sent(const MachineId& machine, Time now);
 
  private:
-  // Stops for tasks that no record assigns, acknowledgements for exited ones.
-  void add_commands_for_unassigned(Machine& machine, std::vector<wire::Command>& commands) const;
-  void add_commands_for_assigned(Machine& machine, bool allow_starts, Time now,
-                                 std::vector<wire::Command>& commands) const;
+  // Adds commands up to the limit of a response.
+  class CommandList;
+
+  void add_stops(const Machine& machine, Time now, CommandList& commands) const;
+  // Acknowledgements of exited tasks.
+  void add_acknowledgements(Machine& machine, CommandList& commands) const;
+  void add_starts(Machine& machine, CommandList& commands) const;
   // Whether the worker may forget the exited task: its result must be stored before its only witness forgets
   // it.
   bool may_acknowledge(const wire::ReportedTask& task) const;
--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -1,5 +1,6 @@
 // Scenarios about what must never happen: a task twice, a result lost, a cancelled task left running.
 #include "cluster_fixture.hpp"
+#include "constants.hpp"
 
 namespace dockdyke::testing {
 
@@ -214,6 +215,38 @@
   EXPECT_EQ(count(exchange(worker), CommandKind::stop), 1u);
 }
 
+TEST_F(SafetyTest, TaskCancelledBeforeTheTakeOverIsStoppedByTheFirstAnswer) {
+  inherit(job_spec("job-1", 2), {{0, 1, MachineId("n-1"), false}, {1, 1, MachineId("n-1"), false}}, true);
+  loaded();
+  Worker worker{.name = "n-1", .token = kToken - 10};
+  worker.shows("job-1", 0, 1, wire::TaskState::running);
+  worker.shows("job-1", 1, 1, wire::TaskState::fetching);
+  EXPECT_EQ(count(exchange(worker), CommandKind::stop), 2u);
+}
+
+TEST_F(SafetyTest, TaskOfAJobThatHasEndedIsStoppedByTheFirstAnswerWhichForgetsAndStartsNothing) {
+  loaded();
+  submit(job_spec("job-2", 1));
+  Worker worker{.name = "n-1", .token = kToken - 10};
+  worker.shows("job-1", 0, 1, wire::TaskState::running);
+  worker.shows("job-1", 1, 1, wire::TaskState::exited);
+  const auto commands = exchange(worker);
+  ASSERT_EQ(commands.size(), 1u);
+  EXPECT_EQ(commands[0].kind, CommandKind::stop);
+  EXPECT_EQ(commands[0].task.index, 0u);
+}
+
+TEST_F(SafetyTest, StopsGoOutAheadOfAcknowledgements) {
+  loaded();
+  Worker worker{.name = "n-1", .token = kToken};
+  for (TaskIndex i = 0; i < constants::kMaxCommandsPerResponse; ++i)
+    worker.shows("job-1", i, 1, wire::TaskState::exited);
+  worker.shows("job-1", 5000, 1, wire::TaskState::running);
+  const auto commands = exchange(worker);
+  EXPECT_EQ(commands.size(), constants::kMaxCommandsPerResponse);
+  EXPECT_EQ(count(commands, CommandKind::stop), 1u);
+}
+
 TEST_F(SafetyTest, TaskNobodyKnowsIsStoppedAndItsMachineGetsNoWorkMeanwhile) {
   loaded();
   Worker worker{"n-1"};
