Preemption counts fitting tasks instead of subtracting them one by one

Cause: callers saw every controller fall silent for good after one submission of an array whose tasks request no CPUs and no memory. `Preemption::make_plan` subtracted the request from the capacity of a victim until it no longer fitted, which never happens for a request of 0, and takes 10^10 steps or more for tiny ones. The job is stored, so each next leader followed.

Change: plans and free capacity are counted by `tasks_fitting`, a division with an upper bound, so a step takes as long for any amounts. That function now also returns 0 where `fits_into` does not hold, which it ignored for amounts that a task does not request. The claims of waiting tasks, which looped once per task (up to 100,000), are counted in the same way. No amount is refused: the protocol sets no lowest value, and such tasks run.

--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -5,6 +5,7 @@
 
 #include "constants.hpp"
 #include "core/gang_scheduler.hpp"
+#include "core/task_fit.hpp"
 
 namespace dockdyke::core {
 
@@ -55,7 +56,9 @@
     pending.push_back(task);
     cost_s += victim_cost_s + 1;
     if (!task_resources.fits_into(free)) continue;
-    for (; task_resources.fits_into(free); ++plan.fitting_tasks) free -= task_resources;
+    const std::size_t fitting_tasks = tasks_fitting(task_resources, free);
+    free -= task_resources * static_cast<double>(fitting_tasks);
+    plan.fitting_tasks += fitting_tasks;
     plan.victims.insert(plan.victims.end(), pending.begin(), pending.end());
     plan_cost_s = cost_s;
     pending.clear();
@@ -84,17 +87,19 @@
   demand.tasks = zones ? 1 : std::min<std::size_t>(job.waiting_tasks(), constraints_.quota_headroom(job));
   state_.count_scanned(machines.size());
   for (Machine* machine : machines) {
-    if (demand.tasks == 0) break;
     if (!constraints_.allowed_on(job, *machine) || !has_zone_capacity(zones, machine->zone)) continue;
     if (job.failed_machines.contains(machine->id)) continue;
     auto free = capacity_after_stops(*machine);
     demand.capacity_expected = demand.capacity_expected || task_resources.fits_into(free);
     if (auto claim = claimed.find(machine); claim != claimed.end()) free -= claim->second;
     // Tasks that fit without further stops need no preemption.
-    for (; demand.tasks > 0 && task_resources.fits_into(free); --demand.tasks) {
-      free -= task_resources;
-      claimed[machine] += task_resources;
+    if (const auto tasks = std::min(demand.tasks, tasks_fitting(task_resources, free)); tasks > 0) {
+      const auto resources = task_resources * static_cast<double>(tasks);
+      free -= resources;
+      claimed[machine] += resources;
+      demand.tasks -= tasks;
     }
+    if (demand.tasks == 0) break;
     if (auto plan = make_plan(preemptor, *machine, free, demand.tasks, now))
       demand.plans.push_back(*std::move(plan));
   }
--- a/src/core/task_fit.cpp
+++ b/src/core/task_fit.cpp
@@ -16,6 +16,7 @@
 
 std::size_t tasks_fitting(const wire::Resources& task, const wire::Resources& free) {
   constexpr double kRoundingTolerance = 1e-6;
+  if (!task.fits_into(free)) return 0;
   double count = constants::kMaxDemandTasks;
   const auto limit_count = [&](double needed, double available) {
     if (needed > 0)
--- a/tests/core/preemption_test.cpp
+++ b/tests/core/preemption_test.cpp
@@ -1,5 +1,7 @@
 // Tests of preemption through the leader's state machine.
 #include "cluster_fixture.hpp"
+#include "constants.hpp"
+#include "time_limit.hpp"
 
 namespace dockdyke::testing {
 
@@ -62,4 +64,26 @@
   EXPECT_EQ(max_stops_for_high_priority_job(1, false), 2u);
 }
 
+// The CPUs and memory that each task of a high-priority array requests.
+class PreemptionForTinyTasksTest : public PreemptionTest, public ::testing::WithParamInterface<double> {};
+
+// Guards against a leader that plans forever, since any number of tasks fits into the capacity of a victim.
+TEST_P(PreemptionForTinyTasksTest, PlanningEndsWhateverAmountsTasksRequest) {
+  constexpr unsigned kTimeLimitSeconds = 60;
+  fill_machines(wire::Priority::normal);
+  auto array = job_spec("job-2", constants::kMaxTasksPerJob, GetParam());
+  array.priority = wire::Priority::high;
+  submit(array);
+  const auto wait_until_preemption = [&] {
+    while (now < constants::kPreemptionDelaySeconds + 10) {
+      advance_time(1.5);
+      exchange_with_all_workers();
+    }
+  };
+  EXPECT_EXIT(run_and_exit(kTimeLimitSeconds, wait_until_preemption), ::testing::ExitedWithCode(EXIT_SUCCESS),
+              "");
+}
+
+INSTANTIATE_TEST_SUITE_P(Amounts, PreemptionForTinyTasksTest, ::testing::Values(0.0, 1e-300, 1e-9));
+
 }  // namespace dockdyke::testing
