A machine holds at most 512 tasks, whatever they request

Cause: the amounts that a user states decided how many tasks a machine was assigned. With amounts near 0 these were thousands, the worker's heartbeat exceeded 64 KiB, every controller answered 413, the lease ran out and all tasks of the machine ended, again and again, those of other jobs with them. Callers saw jobs that start over and never end.

Change: free capacity consists of resources and task slots (`FreeCapacity`), and the one function that returns it counts assignments and exited tasks that the worker still lists. Placement, gangs, reservations, preemption, capacity planning and held responses all use it, so that tasks beyond the limit wait, preempt or get further machines like others that do not fit. 512 tasks of at most 100 bytes are 51 KB.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -321,6 +321,9 @@
 // ---- Placement --------------------------------------------------------------------------------------------
 // Tasks assigned in one pass. Bounds the duration of a pass over a very large job.
 inline constexpr std::size_t kMaxAssignmentsPerPass = 400;
+// Tasks that a machine may hold, including exited ones that its heartbeats still list. A heartbeat takes up
+// to 100 bytes per task and must stay below kMaxRequestBodyBytes.
+inline constexpr std::size_t kMaxTasksPerMachine = 512;
 // Slack before a job's latest start, as a multiple of the heartbeat round, below which the job is latency
 // critical and does not wait for a better machine.
 inline constexpr double kLatencyCriticalRoundFactor = 3;
@@ -430,6 +433,8 @@
 inline constexpr std::size_t kMaxDemandTasks = 20'000;
 // Unit (CPUs, GPUs, GB) to which free capacity is rounded down when machines are grouped by it.
 inline constexpr double kCapacityStep = 0.5;
+// The same for the number of tasks that machines may still be assigned.
+inline constexpr std::ptrdiff_t kTaskSlotStep = 64;
 // Fraction of the cloud's rate limit that scale-out requests may use.
 inline constexpr double kScaleOutCallRateFraction = 0.6;
 
--- a/src/core/autoscaler.cpp
+++ b/src/core/autoscaler.cpp
@@ -158,7 +158,7 @@
 
 double Autoscaler::utilization_of(const Machine& machine) const {
   const auto& size = state_.type_of(machine)->size;
-  const auto free = constraints_.free_capacity(machine);
+  const auto free = constraints_.free_capacity(machine).resources;
   return std::max(1 - free.cpus / std::max(1e-9, size.cpus),
                   1 - free.memory_gb / std::max(1e-9, size.memory_gb));
 }
--- a/src/core/capacity_planner.cpp
+++ b/src/core/capacity_planner.cpp
@@ -41,39 +41,39 @@
   return at_slo_risk;
 }
 
-wire::Resources CapacityPlanner::soon_free_capacity(const Machine& machine, bool at_slo_risk,
-                                                    Time now) const {
-  wire::Resources soon_free;
+void CapacityPlanner::add_soon_free_capacity(const Machine& machine, bool at_slo_risk, Time now,
+                                             FreeCapacity& free) const {
   for (const auto& task : machine.assignments) {
     const bool ends_soon = at_slo_risk
                                ? nearly_done(*task.job, task.assignment(), now)
                                : ends_before_new_machine_boots(state_, *task.job, task.assignment(), now);
-    if (ends_soon) soon_free += task.job->spec.task_resources;
+    if (ends_soon) free.release(task.job->spec.task_resources);
   }
-  return soon_free;
 }
 
 namespace {
 
-// Free capacity as whole multiples of `kCapacityStep`, rounded down.
+// Free capacity as whole multiples of `kCapacityStep` and `kTaskSlotStep`, rounded down.
 struct CapacitySteps {
   long cpus = 0;
   long gpus = 0;
   long memory = 0;
+  std::ptrdiff_t task_slots = 0;
   auto operator<=>(const CapacitySteps&) const = default;
 };
 
-CapacitySteps to_steps(const wire::Resources& free) {
+CapacitySteps to_steps(const FreeCapacity& free) {
   const auto steps = [](double amount) {
     return static_cast<long>(std::floor(amount / constants::kCapacityStep + 1e-6));
   };
-  return {steps(free.cpus), steps(free.gpus), steps(free.memory_gb)};
+  return {steps(free.resources.cpus), steps(free.resources.gpus), steps(free.resources.memory_gb),
+          free.task_slots / constants::kTaskSlotStep};
 }
 
-wire::Resources to_resources(const CapacitySteps& steps) {
-  return wire::Resources{static_cast<double>(steps.cpus), static_cast<double>(steps.gpus),
-                         static_cast<double>(steps.memory)} *
-         constants::kCapacityStep;
+FreeCapacity to_capacity(const CapacitySteps& steps) {
+  const wire::Resources resources{static_cast<double>(steps.cpus), static_cast<double>(steps.gpus),
+                                  static_cast<double>(steps.memory)};
+  return {resources * constants::kCapacityStep, steps.task_slots * constants::kTaskSlotStep};
 }
 
 struct GroupKey {
@@ -89,18 +89,18 @@
 std::vector<CapacityPlanner::MachineGroup> CapacityPlanner::group_machines(bool include_soon_free, Time now) {
   const auto at_slo_risk = types_at_slo_risk(now);
   std::map<GroupKey, std::size_t> counts;
-  const auto add = [&](std::size_t type, const std::string& zone, bool spot, const wire::Resources& free,
+  const auto add = [&](std::size_t type, const std::string& zone, bool spot, const FreeCapacity& free,
                        std::size_t machines) {
     GroupKey key{type, zone, spot, to_steps(free)};
-    if (key.free.cpus > 0) counts[std::move(key)] += machines;
+    if (key.free.cpus > 0 && key.free.task_slots > 0) counts[std::move(key)] += machines;
   };
   for (const auto& [id, machine] : state_.machines()) {
     if (!state_.type_of(machine) || machine.scale_in_requested || machine.draining || machine.terminates_at)
       continue;
-    wire::Resources free = constraints_.free_capacity(machine);
+    FreeCapacity free = constraints_.free_capacity(machine);
     if (machine.state == MachineState::up) {
       if (!constraints_.accepts_work(machine, now)) continue;
-      if (include_soon_free) free += soon_free_capacity(machine, at_slo_risk[machine.type_number], now);
+      if (include_soon_free) add_soon_free_capacity(machine, at_slo_risk[machine.type_number], now, free);
     } else if (machine.state != MachineState::booting || constraints_.boot_overdue(machine, now)) {
       continue;
     }
@@ -109,12 +109,12 @@
   for (const auto& [id, pending] : scale_out_.pending()) {
     const auto& request = pending.request;
     if (const auto type = state_.type_number(request.type); type != kNoType)
-      add(type, request.zone, request.spot, state_.types()[type].size, request.count);
+      add(type, request.zone, request.spot, empty_machine_capacity(state_.types()[type]), request.count);
   }
   std::vector<MachineGroup> groups;
   groups.reserve(counts.size());
   for (const auto& [key, machines] : counts)
-    groups.push_back({key.type, key.zone, key.spot, to_resources(key.free), machines});
+    groups.push_back({key.type, key.zone, key.spot, to_capacity(key.free), machines});
   return groups;
 }
 
@@ -151,7 +151,7 @@
   const MachineGroup group = plan.groups[group_index];
   if (!may_use(demand, group)) return;
   const auto& spec = demand.job.spec;
-  const std::size_t per_machine = tasks_fitting(spec.task_resources, group.free);
+  const std::size_t per_machine = group.free.tasks_fitting(spec.task_resources);
   std::size_t placed = std::min(demand.tasks, per_machine * group.machines);
   if (demand.zones) placed = std::min(placed, demand.zones->at(group.zone));
   if (placed == 0) return;
@@ -159,7 +159,7 @@
   const auto split_off = [&](std::size_t machines, std::size_t tasks_each) {
     if (machines == 0) return;
     MachineGroup rest = group;
-    rest.free -= spec.task_resources * static_cast<double>(tasks_each);
+    rest.free.take(spec.task_resources * static_cast<double>(tasks_each), tasks_each);
     rest.machines = machines;
     plan.groups[group_index].machines -= machines;
     plan.groups.push_back(std::move(rest));
@@ -198,7 +198,7 @@
   for (const auto& group : plan.groups)
     if (may_use(demand, group))
       capacity_by_zone[group.zone] +=
-          tasks_fitting(demand.job.spec.task_resources, group.free) * group.machines;
+          group.free.tasks_fitting(demand.job.spec.task_resources) * group.machines;
   for (const auto& [zone, tasks] : capacity_by_zone)
     if (tasks >= demand.tasks) return zone;
   // No zone has capacity for the whole gang, so the rest is requested in the zone of the selected offering.
@@ -211,14 +211,14 @@
     const auto offering = select_offering(plan, demand, allow_on_demand, now);
     if (!offering) return;
     const auto type = state_.type_number(offering->type);
-    const auto& size = state_.types()[type].size;
+    const auto empty = empty_machine_capacity(state_.types()[type]);
     const std::size_t per_machine =
-        std::max<std::size_t>(1, tasks_fitting(demand.job.spec.task_resources, size));
+        std::max<std::size_t>(1, empty.tasks_fitting(demand.job.spec.task_resources));
     const std::size_t machines = (demand.tasks + per_machine - 1) / per_machine;
     // With zone constraints, each placement may change the offering for the next machine.
     const std::size_t count =
         demand.zones ? 1 : std::min({plan.machine_budget, machines, constants::kMaxMachinesPerScaleOut});
-    plan.groups.push_back({type, offering->zone, offering->spot, size, count});
+    plan.groups.push_back({type, offering->zone, offering->spot, empty, count});
     plan.machines_to_request[*offering] += count;
     plan.machines_by_zone[offering->zone] += count;
     plan.machine_budget -= count;
--- a/src/core/capacity_planner.hpp
+++ b/src/core/capacity_planner.hpp
@@ -44,7 +44,7 @@
     std::size_t type = 0;  // type number
     std::string zone;
     bool spot = false;
-    wire::Resources free;  // on each machine
+    FreeCapacity free;  // on each machine
     std::size_t machines = 0;
   };
   // A plan under construction, to which the jobs are added in queue order.
@@ -65,9 +65,9 @@
   // ---- Available capacity ----
   // Returns, by type number, whether a compatible job has waited so long that its start objective is at risk.
   std::vector<bool> types_at_slo_risk(Time now);
-  // Returns the capacity of the machine's tasks that are expected to end soon. With `at_slo_risk` only tasks
+  // Adds the capacity of the machine's tasks that are expected to end soon. With `at_slo_risk` only tasks
   // that are nearly done count.
-  wire::Resources soon_free_capacity(const Machine& machine, bool at_slo_risk, Time now) const;
+  void add_soon_free_capacity(const Machine& machine, bool at_slo_risk, Time now, FreeCapacity& free) const;
   // Groups the machines that are up, booting or requested by their free capacity. With `include_soon_free`,
   // capacity of tasks that are expected to end soon counts as free.
   std::vector<MachineGroup> group_machines(bool include_soon_free, Time now);
--- a/src/core/gang_reservations.cpp
+++ b/src/core/gang_reservations.cpp
@@ -67,14 +67,14 @@
   }
 }
 
-wire::Resources GangReservations::capacity_within_reservation(const Machine& machine, Time now) const {
-  wire::Resources capacity = constraints_.free_capacity(machine);
+FreeCapacity GangReservations::capacity_within_reservation(const Machine& machine, Time now) const {
+  FreeCapacity capacity = constraints_.free_capacity(machine);
   for (const auto& task : machine.assignments) {
     const TaskAssignment& assignment = task.assignment();
     const double remaining_s = std::max(0.0, task.job->expected_run_s - assignment.ran_s(now));
     const bool ends_in_time =
         task.job->spec.kind != wire::JobKind::service && remaining_s < constants::kGangReservationSeconds;
-    if (ends_in_time || assignment.stopping) capacity += task.job->spec.task_resources;
+    if (ends_in_time || assignment.stopping) capacity.release(task.job->spec.task_resources);
   }
   return capacity;
 }
@@ -84,7 +84,7 @@
   std::map<std::string, std::vector<MachineCapacity>> groups;  // by zone for a same-zone gang, else one group
   for (Machine* machine : machines_accepting_work(state_, constraints_, now)) {
     if (!constraints_.allowed_on(job, *machine) || job.failed_machines.contains(machine->id)) continue;
-    const auto task_capacity = tasks_fitting(spec.task_resources, capacity_within_reservation(*machine, now));
+    const auto task_capacity = capacity_within_reservation(*machine, now).tasks_fitting(spec.task_resources);
     if (task_capacity > 0)
       groups[spec.same_zone ? machine->zone : std::string()].push_back({machine, task_capacity});
   }
@@ -137,7 +137,7 @@
   std::vector<Candidate> candidates;
   for (Machine* machine : machines) {
     if (machine->in_gang_reserve || !constraints_.allowed_on(gang, *machine)) continue;
-    const auto task_capacity = tasks_fitting(gang.spec.task_resources, constraints_.free_capacity(*machine));
+    const auto task_capacity = constraints_.free_capacity(*machine).tasks_fitting(gang.spec.task_resources);
     if (task_capacity > 0) candidates.push_back({machine, count_recent_images(*machine), task_capacity});
   }
   std::stable_sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
--- a/src/core/gang_reservations.hpp
+++ b/src/core/gang_reservations.hpp
@@ -35,7 +35,7 @@
   // Reserves enough machines for all tasks of the gang. Returns false, reserving none, if they do not fit.
   bool try_reserve(const Job& job, Time now);
   // Returns the machine's free capacity, including that of tasks expected to end within a reservation.
-  wire::Resources capacity_within_reservation(const Machine& machine, Time now) const;
+  FreeCapacity capacity_within_reservation(const Machine& machine, Time now) const;
   // Adds machines with enough free capacity for the expected gangs of a class to the reserve.
   void hold_capacity(const ExpectedGangs& expected, const std::vector<Machine*>& machines);
 
--- a/src/core/gang_scheduler.cpp
+++ b/src/core/gang_scheduler.cpp
@@ -33,7 +33,7 @@
     if (machine->reserved_for_other(job, now)) continue;
     const auto cost = cost_.compute(job, *machine, largest_cpus);
     if (!cost) continue;
-    const auto task_capacity = tasks_fitting(spec.task_resources, constraints_.free_capacity(*machine));
+    const auto task_capacity = constraints_.free_capacity(*machine).tasks_fitting(spec.task_resources);
     GangCandidate candidate{machine, 0, *cost, task_capacity};
     if (!machine->has_image(spec.image)) candidate.start_delay_s = cost_.image_fetch_s(job, *machine);
     // All tasks run at the pace of the slowest one.
--- a/src/core/offering_selector.cpp
+++ b/src/core/offering_selector.cpp
@@ -37,7 +37,7 @@
   OfferingCandidate candidate;
   candidate.offering = {type.name, zone, spot};
   if (scale_out_.in_backoff(candidate.offering, now)) return std::nullopt;
-  const auto fit = tasks_fitting(request.job.spec.task_resources, type.size);
+  const auto fit = empty_machine_capacity(type).tasks_fitting(request.job.spec.task_resources);
   const double machines = std::ceil(static_cast<double>(request.tasks) / static_cast<double>(fit));
   candidate.price = (spot ? type.spot_price : type.price) * machines;
   const auto in_zone = request.machines_by_zone.find(zone);
--- a/src/core/placement_cost.cpp
+++ b/src/core/placement_cost.cpp
@@ -18,11 +18,11 @@
                                              double largest_cpus) const {
   const auto& spec = job.spec;
   const auto free = constraints_.free_capacity(machine);
-  if (!spec.task_resources.fits_into(free)) return std::nullopt;
+  if (!free.fits(spec.task_resources)) return std::nullopt;
   if (!constraints_.allowed_on(job, machine)) return std::nullopt;
   if (job.failed_machines.contains(machine.id)) return std::nullopt;
-  double cost =
-      (free.cpus - spec.task_resources.cpus) / largest_cpus * constants::kLeftoverCapacityCostSeconds;
+  double cost = (free.resources.cpus - spec.task_resources.cpus) / largest_cpus *
+                constants::kLeftoverCapacityCostSeconds;
   if (machine.assignments.empty()) cost += constants::kEmptyMachineCostSeconds;
   if (!machine.spot && spec.spot_allowed) cost += constants::kOnDemandCostSeconds;
   if (!machine.failed_jobs.empty()) cost += constants::kFailedMachineCostSeconds;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -5,7 +5,6 @@
 
 #include "constants.hpp"
 #include "core/gang_scheduler.hpp"
-#include "core/task_fit.hpp"
 
 namespace dockdyke::core {
 
@@ -40,7 +39,7 @@
 }
 
 std::optional<Preemption::Plan> Preemption::make_plan(const QueuedJob& preemptor, Machine& machine,
-                                                      wire::Resources free, std::size_t max_tasks,
+                                                      FreeCapacity free, std::size_t max_tasks,
                                                       Time now) const {
   const auto& task_resources = preemptor.job->spec.task_resources;
   Plan plan;
@@ -52,12 +51,12 @@
     const bool above_low = task.job->spec.priority > wire::Priority::low;
     if (above_low && plan.fitting_tasks > 0) break;
     plan.above_low_priority = plan.above_low_priority || above_low;
-    free += task.job->spec.task_resources;
+    free.release(task.job->spec.task_resources);
     pending.push_back(task);
     cost_s += victim_cost_s + 1;
-    if (!task_resources.fits_into(free)) continue;
-    const std::size_t fitting_tasks = tasks_fitting(task_resources, free);
-    free -= task_resources * static_cast<double>(fitting_tasks);
+    const std::size_t fitting_tasks = free.tasks_fitting(task_resources);
+    if (fitting_tasks == 0) continue;
+    free.take(task_resources * static_cast<double>(fitting_tasks), fitting_tasks);
     plan.fitting_tasks += fitting_tasks;
     plan.victims.insert(plan.victims.end(), pending.begin(), pending.end());
     plan_cost_s = cost_s;
@@ -69,10 +68,10 @@
   return plan;
 }
 
-wire::Resources Preemption::capacity_after_stops(const Machine& machine) const {
+FreeCapacity Preemption::capacity_after_stops(const Machine& machine) const {
   auto free = constraints_.free_capacity(machine);
   for (const auto& task : machine.assignments)
-    if (task.assignment().stopping) free += task.job->spec.task_resources;
+    if (task.assignment().stopping) free.release(task.job->spec.task_resources);
   return free;
 }
 
@@ -90,13 +89,13 @@
     if (!constraints_.allowed_on(job, *machine) || !has_zone_capacity(zones, machine->zone)) continue;
     if (job.failed_machines.contains(machine->id)) continue;
     auto free = capacity_after_stops(*machine);
-    demand.capacity_expected = demand.capacity_expected || task_resources.fits_into(free);
-    if (auto claim = claimed.find(machine); claim != claimed.end()) free -= claim->second;
+    demand.capacity_expected = demand.capacity_expected || free.fits(task_resources);
+    if (auto claim = claimed.find(machine); claim != claimed.end())
+      free.take(claim->second.resources, claim->second.tasks);
     // Tasks that fit without further stops need no preemption.
-    if (const auto tasks = std::min(demand.tasks, tasks_fitting(task_resources, free)); tasks > 0) {
-      const auto resources = task_resources * static_cast<double>(tasks);
-      free -= resources;
-      claimed[machine] += resources;
+    if (const auto tasks = std::min(demand.tasks, free.tasks_fitting(task_resources)); tasks > 0) {
+      free.take(task_resources * static_cast<double>(tasks), tasks);
+      claimed[machine].add(task_resources, tasks);
       demand.tasks -= tasks;
     }
     if (demand.tasks == 0) break;
@@ -121,7 +120,7 @@
     const std::size_t tasks = std::min(demand.tasks, plan.fitting_tasks);
     for (const auto& victim : plan.victims)
       victim.assignment().request_stop(victim.job->spec.checkpoint_duration_s);
-    claimed[plan.machine] += task_resources * static_cast<double>(tasks);
+    claimed[plan.machine].add(task_resources, tasks);
     demand.tasks -= tasks;
   }
 }
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -38,8 +38,18 @@
     double cost_per_task = 0;         // per fitting task
     bool above_low_priority = false;  // some victim has a priority above `low`
   };
-  // Capacity, free now or once stopped tasks have ended, that jobs ahead in the queue will use.
-  using ClaimedCapacity = std::map<const Machine*, wire::Resources, MachineIdLess>;
+  // Waiting tasks of jobs ahead in the queue that will use capacity of a machine, free now or once stopped
+  // tasks have ended.
+  struct Claim {
+    wire::Resources resources;
+    std::size_t tasks = 0;
+
+    void add(const wire::Resources& task, std::size_t count) {
+      resources += task * static_cast<double>(count);
+      tasks += count;
+    }
+  };
+  using ClaimedCapacity = std::map<const Machine*, Claim, MachineIdLess>;
   // The tasks of one waiting job that need preemption, and the plans to choose from.
   struct Demand {
     std::size_t tasks = 0;           // that do not fit without preemption
@@ -53,10 +63,10 @@
   // Adds victims in ascending order of cost until `max_tasks` tasks of the preemptor fit, or one task if a
   // victim is above the lowest priority. Returns std::nullopt if no task fits. `free` is the capacity that
   // the preemptor can use without victims.
-  std::optional<Plan> make_plan(const QueuedJob& preemptor, Machine& machine, wire::Resources free,
+  std::optional<Plan> make_plan(const QueuedJob& preemptor, Machine& machine, FreeCapacity free,
                                 std::size_t max_tasks, Time now) const;
   // Returns the machine's free capacity once all tasks that are being stopped have ended.
-  wire::Resources capacity_after_stops(const Machine& machine) const;
+  FreeCapacity capacity_after_stops(const Machine& machine) const;
   // Claims capacity that is free or will be free by earlier stops, and makes plans for the remaining tasks.
   Demand find_demand(const QueuedJob& preemptor, const std::vector<Machine*>& machines,
                      ClaimedCapacity& claimed, Time now);
--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -25,11 +25,11 @@
          now >= machine.assignments_resume_at && !unresponsive(machine, now);
 }
 
-wire::Resources SchedulingConstraints::free_capacity(const Machine& machine) const {
+FreeCapacity SchedulingConstraints::free_capacity(const Machine& machine) const {
   const auto* type = state_.type_of(machine);
   if (!type) return {};
-  wire::Resources free = type->size;
-  free -= machine.used;
+  FreeCapacity free = empty_machine_capacity(*type);
+  free.take(machine.used, machine.assignments.size() + machine.unassigned_tasks.size());
   return free;
 }
 
--- a/src/core/scheduling_constraints.hpp
+++ b/src/core/scheduling_constraints.hpp
@@ -9,6 +9,7 @@
 #include "core/cluster_state.hpp"
 #include "core/job.hpp"
 #include "core/machine.hpp"
+#include "core/task_fit.hpp"
 #include "core/time.hpp"
 #include "wire/messages.hpp"
 
@@ -29,8 +30,9 @@
   // Returns whether tasks may be assigned to the machine: it is up and responsive, its worker has
   // acknowledged this leader's token, and it is neither draining, terminating nor excluded after faults.
   bool accepts_work(const Machine& machine, Time now) const;
-  // Returns the machine's resources without those of its assignments; zero if its type is unknown.
-  wire::Resources free_capacity(const Machine& machine) const;
+  // Returns the machine's capacity without that of its assignments; zero if its type is unknown. Exited tasks
+  // that its worker still lists take no resources.
+  FreeCapacity free_capacity(const Machine& machine) const;
   // Returns whether the job allows the type, the zone and the kind (spot or on-demand), and one of its tasks
   // fits on an empty machine of the type.
   bool allowed_on(const Job& job, std::size_t type, const std::string& zone, bool spot) const;
--- a/src/core/task_fit.cpp
+++ b/src/core/task_fit.cpp
@@ -28,4 +28,27 @@
   return static_cast<std::size_t>(count);
 }
 
+bool FreeCapacity::fits(const wire::Resources& task) const {
+  return task_slots > 0 && task.fits_into(resources);
+}
+
+std::size_t FreeCapacity::tasks_fitting(const wire::Resources& task) const {
+  if (task_slots <= 0) return 0;
+  return std::min(static_cast<std::size_t>(task_slots), core::tasks_fitting(task, resources));
+}
+
+void FreeCapacity::take(const wire::Resources& total, std::size_t tasks) {
+  resources -= total;
+  task_slots -= static_cast<std::ptrdiff_t>(tasks);
+}
+
+void FreeCapacity::release(const wire::Resources& task) {
+  resources += task;
+  ++task_slots;
+}
+
+FreeCapacity empty_machine_capacity(const wire::MachineType& type) {
+  return {type.size, static_cast<std::ptrdiff_t>(constants::kMaxTasksPerMachine)};
+}
+
 }  // namespace dockdyke::core
--- a/src/core/task_placer.cpp
+++ b/src/core/task_placer.cpp
@@ -49,10 +49,12 @@
     state_.count_scanned(1);
     if (machine->type_number >= state_.types().size()) continue;
     const auto free = constraints_.free_capacity(*machine);
-    if (!pass.smallest_task.fits_into(free) || !constraints_.accepts_work(*machine, now)) continue;
+    if (!free.fits(pass.smallest_task) || !constraints_.accepts_work(*machine, now)) continue;
     auto& largest = pass.largest_free[machine->type_number];
-    largest = {std::max(largest.cpus, free.cpus), std::max(largest.gpus, free.gpus),
-               std::max(largest.memory_gb, free.memory_gb)};
+    largest.resources = {std::max(largest.resources.cpus, free.resources.cpus),
+                         std::max(largest.resources.gpus, free.resources.gpus),
+                         std::max(largest.resources.memory_gb, free.resources.memory_gb)};
+    largest.task_slots = std::max(largest.task_slots, free.task_slots);
     pass.machines.push_back(machine);
   }
   return pass;
@@ -60,7 +62,7 @@
 
 bool TaskPlacer::may_fit(const Job& job, const Pass& pass) const {
   for (std::size_t type = 0; type < pass.largest_free.size(); ++type)
-    if (job.compatible_with(type) && job.spec.task_resources.fits_into(pass.largest_free[type])) return true;
+    if (job.compatible_with(type) && pass.largest_free[type].fits(job.spec.task_resources)) return true;
   return false;
 }
 
@@ -81,7 +83,7 @@
     pass.assigned += assigned;
     if (assigned > 0)
       std::erase_if(pass.machines, [&](const Machine* machine) {
-        return !pass.smallest_task.fits_into(constraints_.free_capacity(*machine));
+        return !constraints_.free_capacity(*machine).fits(pass.smallest_task);
       });
     if (pass.assigned >= constants::kMaxAssignmentsPerPass) return;
   }
@@ -130,7 +132,7 @@
   for (const auto& [cost, machine] : candidates) {
     // Fills one machine before the next, so that one image fetch serves as many tasks as possible.
     while (assigned < limit && job.waiting_tasks() > 0 && has_zone_capacity(zones, machine->zone) &&
-           job.spec.task_resources.fits_into(constraints_.free_capacity(*machine))) {
+           constraints_.free_capacity(*machine).fits(job.spec.task_resources)) {
       assign_next_task(job, *machine, now);
       ++assigned;
       if (zones) zones = constraints_.zone_capacity(job);
--- a/src/core/task_placer.hpp
+++ b/src/core/task_placer.hpp
@@ -35,10 +35,10 @@
   };
   // State of one pass over the queue.
   struct Pass {
-    std::vector<Machine*> machines;             // that await a response and accept work
-    std::vector<wire::Resources> largest_free;  // by machine type
-    wire::Resources smallest_task;              // smallest amounts that a waiting task requests
-    std::size_t assigned = 0;                   // tasks
+    std::vector<Machine*> machines;          // that await a response and accept work
+    std::vector<FreeCapacity> largest_free;  // by machine type
+    wire::Resources smallest_task;           // smallest amounts that a waiting task requests
+    std::size_t assigned = 0;                // tasks
   };
 
   Pass begin_pass(const std::vector<QueuedJob>& queue, Time now);
--- /dev/null
+++ b/tests/core/task_slots_test.cpp
@@ -0,0 +1,112 @@
+// Tests of the limit of tasks per machine, through the leader's state machine.
+#include <nlohmann/json.hpp>
+
+#include "cluster_fixture.hpp"
+#include "constants.hpp"
+
+namespace dockdyke::testing {
+
+using wire::CommandKind;
+using wire::ExitCause;
+using wire::TaskState;
+
+class TaskSlotsTest : public ClusterTest {
+ protected:
+  static constexpr double kTinyCpus = 0.0001;
+
+  // Exchanges heartbeats until the worker gets no more start commands, and follows these.
+  void fill(Worker& worker) {
+    for (std::size_t starts = 1; starts > 0;) {
+      const auto commands = exchange_heartbeat(worker);
+      starts = count(commands, CommandKind::start);
+      for (const auto& command : commands)
+        if (command.kind == CommandKind::start)
+          worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
+      advance_time(0.5);
+    }
+  }
+};
+
+// Guards against heartbeats that exceed 64 KiB: every controller refuses them, and the worker's lease
+// expires.
+TEST_F(TaskSlotsTest, HeartbeatOfFullMachineFitsIntoRequest) {
+  complete_loading();
+  auto worker = connect_worker("n-1");
+  submit(job_spec("job-1", constants::kMaxTasksPerJob, kTinyCpus));
+  fill(worker);
+  nlohmann::json tasks = nlohmann::json::array();
+  for (const auto& task : worker.tasks)
+    tasks.push_back({{"piece", "job-123456789012345678/" + std::to_string(99'000 + task.task.index % 1000)},
+                     {"try", task.attempt},
+                     {"stage", "exited"},
+                     {"cause", "halted"},
+                     {"stored", true}});
+  EXPECT_LT(tasks.dump().size(), constants::kMaxRequestBodyBytes - 1024) << worker.tasks.size() << " tasks";
+  EXPECT_EQ(worker.tasks.size(), constants::kMaxTasksPerMachine);
+}
+
+TEST_F(TaskSlotsTest, ExitedTasksCountUntilTheyAreAcknowledged) {
+  complete_loading();
+  auto worker = connect_worker("n-1");
+  submit(job_spec("job-1", constants::kMaxTasksPerJob, kTinyCpus));
+  fill(worker);
+  for (auto& task : worker.tasks) {
+    task.state = TaskState::exited;
+    task.cause = ExitCause::done;
+  }
+  const auto commands = exchange_heartbeat(worker);
+  EXPECT_EQ(count(commands, CommandKind::acknowledge), constants::kMaxCommandsPerResponse);
+  EXPECT_TRUE(cluster.job(JobId("job-1"))->assignments.empty());
+  std::erase_if(worker.tasks, [&](const auto& task) {
+    return std::any_of(commands.begin(), commands.end(),
+                       [&](const auto& command) { return command.task == task.task; });
+  });
+  exchange_heartbeat(worker);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->assignments.size(), constants::kMaxCommandsPerResponse);
+}
+
+TEST_F(TaskSlotsTest, HigherPriorityTaskPreemptsOneOfFullMachine) {
+  complete_loading();
+  auto worker = connect_worker("n-1");
+  auto array = job_spec("job-1", constants::kMaxTasksPerMachine, kTinyCpus);
+  array.priority = wire::Priority::low;
+  array.estimated_run_s = 4000;
+  submit(array);
+  fill(worker);
+  ASSERT_EQ(worker.tasks.size(), constants::kMaxTasksPerMachine);
+  auto urgent = job_spec("job-2", 1, 1);
+  urgent.priority = wire::Priority::high;
+  submit(urgent);
+  std::size_t stops = 0;
+  for (int i = 0; i < 12 && stops == 0; ++i) {
+    stops = count(exchange_heartbeat(worker), CommandKind::stop);
+    advance_time(1);
+  }
+  EXPECT_EQ(stops, 1u);
+}
+
+TEST_F(TaskSlotsTest, MachinesAreRequestedForTasksBeyondSlots) {
+  complete_loading();
+  submit(job_spec("job-1", 3 * constants::kMaxTasksPerMachine + 1, kTinyCpus));
+  advance_time(3);
+  std::size_t machines = 0;
+  for (const auto& scale_out : emitted_effects<RequestScaleOut>()) machines += scale_out.request.count;
+  EXPECT_EQ(machines, 4u);
+}
+
+TEST_F(TaskSlotsTest, GangUsesAsManyMachinesAsItsTasksNeedSlots) {
+  complete_loading();
+  auto first = connect_worker("n-1");
+  auto gang = job_spec("job-1", constants::kMaxTasksPerMachine + 1, kTinyCpus);
+  gang.kind = wire::JobKind::gang;
+  submit(gang);
+  advance_time(2);
+  EXPECT_TRUE(cluster.job(JobId("job-1"))->assignments.empty());
+  exchange_heartbeat(first);
+  send_heartbeat(first);
+  auto second = connect_worker("n-2");
+  advance_time(2);
+  EXPECT_EQ(cluster.job(JobId("job-1"))->gang.machine_count, 2u);
+}
+
+}  // namespace dockdyke::testing
