Assignments of a job are counted by zone as they change

One pass over an array of n tasks took up to 400 times n steps: the number of tasks in a request decided how long a step of the leader ran, and users and workers wait for that step.

Change: a job keeps its number of assignments by zone, updated where an assignment begins or ends and where a machine's zone becomes known; the state keeps the set of zones seen. `zone_capacity` takes as many steps as there are zones.

TaskCountsInZoneThatItsMachineReportsLater is new and passes; it guards the new counts and had nothing to fail before. SchedulingConstraintsTest passes.

--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -93,10 +93,19 @@
     machine.type = type;
     machine.type_number = type_number(type);
   }
-  if (machine.zone != zone) machine.zone = zone;
+  if (machine.zone != zone) set_zone(machine, zone);
   machine.spot = spot;
 }
 
+void ClusterState::set_zone(Machine& machine, const std::string& zone) {
+  for (const auto& task : machine.assignments) {
+    remove_from_zone(*task.job, machine.zone);
+    add_to_zone(*task.job, zone);
+  }
+  machine.zone = zone;
+  if (!zone.empty()) zones_.insert(zone);
+}
+
 void ClusterState::remove_machine(const MachineId& id, Time now) {
   if (Machine* machine = find_machine(id)) {
     awaiting_response_.erase(machine);
@@ -136,6 +145,7 @@
       types_[number] = type;
     }
   }
+  for (const auto& type : types) zones_.insert(type.zones.begin(), type.zones.end());
   for (auto& [id, job] : jobs_) update_compatible_types(job);
   for (auto& [id, machine] : machines_)
     if (!machine.type.empty()) set_offering(machine, machine.type, machine.zone, machine.spot);
@@ -171,6 +181,7 @@
   machine.used += job.spec.task_resources;
   *job.team_usage += job.spec.task_resources;
   job.assignments.insert_or_assign(index, assignment);
+  add_to_zone(job, machine.zone);
 }
 
 bool ClusterState::end_assignment(Job& job, TaskIndex index, Time now) {
@@ -184,10 +195,20 @@
     machine.became_idle_at = now;
   }
   *job.team_usage -= job.spec.task_resources;
+  remove_from_zone(job, machine.zone);
   job.assignments.erase(found);
   return true;
 }
 
+void ClusterState::add_to_zone(Job& job, const std::string& zone) {
+  ++job.assignments_by_zone[zone];
+}
+
+void ClusterState::remove_from_zone(Job& job, const std::string& zone) {
+  const auto found = job.assignments_by_zone.find(zone);
+  if (--found->second == 0) job.assignments_by_zone.erase(found);
+}
+
 wire::Resources ClusterState::team_usage(const std::string& team) const {
   auto found = usage_.find(team);
   return found == usage_.end() ? wire::Resources{} : found->second;
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -80,6 +80,8 @@
   // Returns the number of CPUs of the largest type, at least 1.
   double largest_cpus() const;
   void update_compatible_types(Job& job) const;
+  // Returns the zones that a type or a machine has had so far.
+  const std::set<std::string>& zones() const { return zones_; }
 
   // ---- Assignments ----
   void begin_assignment(Job& job, TaskIndex index, const TaskAssignment& assignment);
@@ -97,6 +99,11 @@
   void count_scanned(std::size_t items) { scanned_ += items; }
 
  private:
+  // Updates the job's assignments by zone.
+  static void add_to_zone(Job& job, const std::string& zone);
+  static void remove_from_zone(Job& job, const std::string& zone);
+  void set_zone(Machine& machine, const std::string& zone);
+
   ClusterConfig config_;
   FencingToken token_;
   bool loaded_ = false;
@@ -108,6 +115,7 @@
   std::map<MachineId, Time> deleted_machines_;  // tombstones
   MachineSet awaiting_response_;
   std::vector<wire::MachineType> types_;
+  std::set<std::string> zones_;
   std::map<std::string, wire::Resources> usage_;  // by team
   bool assignment_pass_requested_ = false;
   std::uint64_t scanned_ = 0;
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -81,6 +81,8 @@
   std::set<TaskIndex> requeued;
   TaskIndex next_unattempted = 0;
   std::map<TaskIndex, TaskAssignment> assignments;
+  // Number of assignments by their machine's zone; "" while a machine's zone is not known.
+  std::map<std::string, std::size_t> assignments_by_zone;
   std::vector<TaskIndex> unpersisted;  // tasks whose current state is in no segment
   GangAttempt gang;                    // used only if `is_gang()`
 
@@ -107,6 +109,10 @@
   TaskIndex waiting_tasks() const {
     return static_cast<TaskIndex>(requeued.size()) + (spec.task_count - next_unattempted);
   }
+  std::size_t assignments_in_zone(const std::string& zone) const {
+    const auto found = assignments_by_zone.find(zone);
+    return found == assignments_by_zone.end() ? 0 : found->second;
+  }
   double mean_run_s() const { return completed_runs > 0 ? total_run_s / completed_runs : 0; }
   bool compatible_with(std::size_t type_number) const {
     return type_number < compatible_types.size() && compatible_types[type_number];
--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -41,24 +41,18 @@
 
 ZoneCapacity SchedulingConstraints::zone_capacity(const Job& job) const {
   if (!job.spec.same_zone && !job.spec.spread) return std::nullopt;
-  constexpr auto kUnlimited = std::numeric_limits<std::size_t>::max();
-  std::map<std::string, std::size_t> zones;
-  for (const auto& type : state_.types())
-    for (const auto& zone : type.zones) zones[zone] = kUnlimited;
-  for (const auto& [id, machine] : state_.machines())
-    if (!machine.zone.empty()) zones.try_emplace(machine.zone, kUnlimited);
-
-  std::map<std::string, std::size_t> tasks_by_zone;
-  for (const auto& [index, assignment] : job.assignments) ++tasks_by_zone[assignment.machine->zone];
   // A task on a machine whose zone is not known yet counts in every zone.
-  const std::size_t in_unknown_zone = tasks_by_zone.contains("") ? tasks_by_zone[""] : 0;
+  const std::size_t in_unknown_zone = job.assignments_in_zone("");
   const std::size_t max_per_zone = (static_cast<std::size_t>(job.spec.task_count) + 1) / 2;
-  for (auto& [zone, capacity] : zones) {
-    const std::size_t in_zone = (tasks_by_zone.contains(zone) ? tasks_by_zone[zone] : 0) + in_unknown_zone;
-    if (job.spec.spread) capacity = max_per_zone > in_zone ? max_per_zone - in_zone : 0;
-    if (job.spec.same_zone && !tasks_by_zone.empty() &&
-        (in_unknown_zone > 0 || !tasks_by_zone.contains(zone)))
-      capacity = 0;
+  std::map<std::string, std::size_t> zones;
+  for (const auto& zone : state_.zones()) {
+    std::size_t capacity = std::numeric_limits<std::size_t>::max();
+    const std::size_t in_zone = job.assignments_in_zone(zone);
+    const std::size_t counted = in_zone + in_unknown_zone;
+    if (job.spec.spread) capacity = max_per_zone > counted ? max_per_zone - counted : 0;
+    const bool bound_to_other_zone = !job.assignments.empty() && (in_unknown_zone > 0 || in_zone == 0);
+    if (job.spec.same_zone && bound_to_other_zone) capacity = 0;
+    zones.emplace(zone, capacity);
   }
   return zones;
 }
--- a/tests/core/scheduling_constraints_test.cpp
+++ b/tests/core/scheduling_constraints_test.cpp
@@ -93,6 +93,19 @@
   EXPECT_FALSE(has_zone_capacity(constraints.zone_capacity(same_zone_job), "a"));
 }
 
+TEST_F(SchedulingConstraintsTest, TaskCountsInZoneThatItsMachineReportsLater) {
+  auto spec = job_spec("job-1", 4);
+  spec.spread = true;
+  Job& job = add_job(spec);
+  Machine& machine = state.find_or_add_machine(MachineId("n-1"), now);
+  assign(job, 0, machine);
+  state.set_offering(machine, "small", "b", true);
+  EXPECT_EQ(constraints.zone_capacity(job)->at("a"), 2u);
+  EXPECT_EQ(constraints.zone_capacity(job)->at("b"), 1u);
+  EXPECT_TRUE(state.end_assignment(job, 0, now));
+  EXPECT_EQ(constraints.zone_capacity(job)->at("b"), 2u);
+}
+
 TEST_F(SchedulingConstraintsTest, EachExclusionConditionPreventsAcceptingWork) {
   Machine& machine = add_machine("n-1", "a");
   EXPECT_TRUE(constraints.accepts_work(machine, now));
