Names in a request are deduplicated without comparing each with all others

Cause: `require_name_list` searched the list of names found so far for each name. A submission of 64 KiB holds some 16,000 names of machine types, and parsing it took 0.33 s in a release build (16,836 names, this machine): the number of names in a request decided how long a controller answered nobody else.

Change: names seen so far are kept in a set; the order of the list stays.

Measured: 0.33 s -> 0.006 s for 16,836 names. JobSpecParsing.MachineTypesAreNotComparedPairwise (40 requests with 10,000 names) was ended by its limit of 60 s before and passes in 2.3 s with sanitizers.

--- a/src/wire/fields.cpp
+++ b/src/wire/fields.cpp
@@ -1,7 +1,7 @@
 #include "wire/fields.hpp"
 
-#include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "constants.hpp"
@@ -145,10 +145,10 @@
 }
 
 std::vector<std::string> require_name_list(const Json& map, const char* field) {
+  std::set<std::string> seen;
   std::vector<std::string> unique_names;
   for (auto& name : require_items(map, field, parse_name))
-    if (std::find(unique_names.begin(), unique_names.end(), name) == unique_names.end())
-      unique_names.push_back(std::move(name));
+    if (seen.insert(name).second) unique_names.push_back(std::move(name));
   return unique_names;
 }
 
--- a/tests/wire/messages_test.cpp
+++ b/tests/wire/messages_test.cpp
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "cluster_fixture.hpp"
+#include "constants.hpp"
+#include "time_limit.hpp"
 
 namespace dockdyke::testing {
 
@@ -87,6 +89,20 @@
   EXPECT_EQ(spec.task_resources.cpus, 8.0);
 }
 
+// Guards against requests that take seconds to parse, since each name is compared with all others.
+TEST(JobSpecParsing, MachineTypesAreNotComparedPairwise) {
+  constexpr unsigned kTimeLimitSeconds = 60;
+  constexpr std::size_t kRequests = 40;
+  Json types = Json::array();
+  for (int number = 10'000; number < 20'000; ++number) types.push_back(std::to_string(number));
+  const auto body = make_submission_with("builds", std::move(types));
+  ASSERT_LT(wire::encode(body).size(), constants::kMaxRequestBodyBytes);
+  const auto parse_requests = [&] {
+    for (std::size_t i = 0; i < kRequests; ++i) wire::parse_job(body);
+  };
+  EXPECT_EXIT(run_and_exit(kTimeLimitSeconds, parse_requests), ::testing::ExitedWithCode(EXIT_SUCCESS), "");
+}
+
 TEST(JobSpecParsing, InvalidFieldValuesAreRejected) {
   const std::vector<std::pair<const char*, Json>> invalid_fields = {
       {"id", "job-"},
