Comments say again why some constants and rules are as they are

Left out: stories of tuning, which docs/results.md has, the depth of the deepest message and the part of a value that a deletion record takes, since both have changed or may have, and a deadline in the preemption delay that the code does not have.

Measured: no line of code differs (checked on the diff).

--- a/src/app/poll_batcher.hpp
+++ b/src/app/poll_batcher.hpp
@@ -23,7 +23,9 @@
   std::function<net::Task<std::vector<peer::PolledJobStatus>>(std::vector<JobId>)> read_job_statuses;
 };
 
-// Collects polls in a queue of at most constants::kPollQueueLimit and processes them in batches.
+// Collects polls in a queue of at most constants::kPollQueueLimit and processes them in batches. One batch is
+// in flight at a time: while the state service is slow, the next batch grows instead of a queue of small
+// ones, which would use up the leader's requests in a large fleet.
 class PollBatcher {
  public:
   PollBatcher(net::Loop& loop, JobStatusSources sources);
--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -19,7 +19,7 @@
 inline constexpr std::size_t kMaxEventsPerIteration = 128;
 
 // ---- Net: HTTP --------------------------------------------------------------------------------------------
-// Bytes of the request line and headers.
+// Bytes of the request line and headers. Those of all components are below 1 KiB.
 inline constexpr std::size_t kMaxHeaderBytes = 8ull * 1024;
 // Bytes of a request body (PROTOCOL).
 inline constexpr std::size_t kMaxRequestBodyBytes = 64ull * 1024;
@@ -72,7 +72,8 @@
 // in force. Single refusals also occur during a failover, when two controllers write.
 inline constexpr std::size_t kRateLimitRefusalThreshold = 4;
 inline constexpr double kRateLimitRefusalWindowSeconds = 5.0;
-// Timeout of one call to the state service.
+// Timeout of one call to the state service. Its responses usually take some ms and occasionally a few
+// hundred.
 inline constexpr double kStateCallTimeoutSeconds = 1.5;
 // Time that the state service may hold a leader's watch. Short, since only a completed watch proves that the
 // leader's local view is fresh.
@@ -134,7 +135,7 @@
 
 // ---- Peers: forwarding to the leader ----------------------------------------------------------------------
 // Time that a follower waits for the leader's response to a forwarded request before it handles the request
-// itself.
+// itself. With a shorter one, followers would get more submissions than their write rates allow.
 inline constexpr double kForwardTimeoutSeconds = 0.25;
 // The same while the follower's own write rate is used up, when even a slow leader is faster.
 inline constexpr double kSaturatedForwardTimeoutSeconds = 1.0;
@@ -159,7 +160,8 @@
 inline constexpr double kStateUnreachableAfterSeconds = 1.2;
 // Window in which a controller counts heartbeats for the status that its peers request.
 inline constexpr std::size_t kHeartbeatCountWindowSeconds = 4;
-// Shortest time without any heartbeat after which a leader asks its peers whether they receive any.
+// Shortest time without any heartbeat after which a leader asks its peers whether they receive any. Workers
+// wait 4 s for a response.
 inline constexpr double kMinHeartbeatGapSeconds = 2.5;
 // Number of heartbeats that should have arrived since the last one for the gap to be significant. With few
 // machines, all of them may be between two heartbeats.
@@ -183,7 +185,8 @@
 // Time between batch reads of the state service, each of which serves all status requests received since the
 // previous one.
 inline constexpr double kPollBatchIntervalSeconds = 0.08;
-// Queued status requests, at the leader including those from its peers. Further ones get a 503 at once.
+// Queued status requests, at the leader including those from its peers. Further ones get a 503 at once. Users
+// of a fleet of 4,000 machines poll some thousand jobs every few seconds.
 inline constexpr std::size_t kPollQueueLimit = 4096;
 // Final job states cached per controller, so that later status requests need no read of the state service.
 inline constexpr std::size_t kTerminalJobCacheSize = 20'000;
@@ -232,9 +235,11 @@
 // Multiple of the heartbeat interval within which every machine has sent a heartbeat: the longest interval,
 // and the time until the response arrives.
 inline constexpr double kHeartbeatRoundFactor = 1.3;
-// Time that a heartbeat waits to be applied by the event loop, which normally takes one iteration.
+// Time that a heartbeat waits to be applied by the event loop, which normally takes one iteration. A longer
+// wait means that the term has ended.
 inline constexpr double kHeartbeatApplyTimeoutSeconds = 1.0;
-// The same while a new leader is still loading its records.
+// The same while a new leader is still loading its records, which usually takes less than a tenth of a
+// second. Workers wait 4 s.
 inline constexpr double kHeartbeatLoadTimeoutSeconds = 2.5;
 // Heartbeats queued at the leader. Further ones get a 503. Above the size of a large fleet, whose workers all
 // send heartbeats at once after a failover.
@@ -256,7 +261,8 @@
 // the timeout. Covers a failover, storing the deletion, the cloud call and its retries.
 inline constexpr double kMaxCancellationReserveSeconds = 12.0;
 inline constexpr double kCancellationReserveFraction = 0.3;
-// Fraction of that reserve from which on the machine is deleted even if responsive: its worker may hang.
+// Fraction of that reserve from which on the machine is deleted even if responsive: responses may not reach
+// its worker, or it may have hung since.
 // Covers storing the deletion, the cloud call and one retry.
 inline constexpr double kUnconditionalDeletionReserveFraction = 0.5;
 // Fraction of the cancellation timeout that is left when a cancelled job with tasks on machines is reported
@@ -270,7 +276,7 @@
 // Completed tasks of a job from which on its other tasks are compared with their mean run time.
 inline constexpr std::uint32_t kMinRunsForStragglers = 3;
 // Multiple of the mean run time of its job's completed tasks above which a task is a straggler, which is a
-// sign of a slow machine.
+// sign of a slow machine. Tasks of a job differ by a fifth, and machines by a tenth.
 inline constexpr double kStragglerFactor = 2.0;
 // The multiple above which a single straggler is sufficient.
 inline constexpr double kCertainStragglerFactor = 3.0;
@@ -292,13 +298,14 @@
 // Segments written concurrently. Further changes are collected in the next one.
 inline constexpr std::size_t kMaxSegmentsInFlight = 3;
 // Writes of the leader's rate limit reserved per segment: its own, its later deletion, and the rest for
-// submissions, completed jobs and scale-out requests.
+// submissions, completed jobs and scale-out requests, which would otherwise get too little at peak load.
 inline constexpr double kWritesPerSegment = 4.5;
 // Segments kept before the oldest are compacted: kMinSegmentsKept, and one more per kLiveEntriesPerSegment
 // live entries.
 inline constexpr std::size_t kMinSegmentsKept = 24;
 inline constexpr std::size_t kLiveEntriesPerSegment = 200;
-// Size below which segments are not reduced further when the state service refuses them as too large.
+// Size below which segments are not reduced further when the state service refuses them as too large. Several
+// tasks still fit.
 inline constexpr std::size_t kMinSegmentBytes = 300;
 // Transactions of the leader in flight. Further changes are collected and merged.
 inline constexpr std::size_t kMaxWritesInFlight = 8;
@@ -308,7 +315,8 @@
 inline constexpr double kQueueSortIntervalSeconds = 0.1;
 // Number of waiting jobs below which the queue is sorted at every change.
 inline constexpr std::size_t kSmallQueueSize = 32;
-// Time that a job waits for its first task before it is starving and precedes all others in queue order.
+// Time that a job waits for its first task before it is starving and precedes all others in queue order. Even
+// the largest jobs must begin within 4 minutes.
 inline constexpr double kStarvationThresholdSeconds = 100.0;
 // Time from submission to deadline of a job for which neither its user nor an objective states one.
 inline constexpr double kDefaultDeadlineSeconds = 600.0;
@@ -353,7 +361,7 @@
 inline constexpr double kGangPlacementWaitFraction = 0.5;
 // Time that a gang waits before capacity is reserved for it.
 inline constexpr double kGangReservationDelaySeconds = 6.0;
-// Duration of a gang reservation. Most running tasks end within it.
+// Duration of a gang reservation. Most running tasks end within it, and no other job waits for 90 s.
 inline constexpr double kGangReservationSeconds = 50.0;
 // Pause between the end of a gang reservation and the next one.
 inline constexpr double kGangReservationPauseSeconds = 30.0;
@@ -384,13 +392,13 @@
 inline constexpr double kPreemptionIntervalSeconds = 2.0;
 
 // ---- Capacity planning and autoscaling --------------------------------------------------------------------
-// Time between runs of the autoscaler.
+// Time between runs of the autoscaler, given by the design.
 inline constexpr double kAutoscalerIntervalSeconds = 5.0;
-// Fraction of its estimated run time from which on a task is nearly done; also the fraction of a machine's
-// capacity in use from which on the machine counts as saturated.
+// Fraction of its estimated run time from which on a task is nearly done, given by the design; also the
+// fraction of a machine's capacity in use from which on the machine counts as saturated.
 inline constexpr double kNearlyDoneFraction = 0.9;
 // Multiple of its estimated run time above which a task is no longer expected to end soon, since the estimate
-// is evidently wrong.
+// is evidently wrong. Otherwise tasks would wait for machines that do not become free.
 inline constexpr double kOverrunFactor = 1.6;
 // Time that a task waits for capacity that becomes free soon before it counts as demand for new machines.
 inline constexpr double kScaleOutDelaySeconds = 2.0;
@@ -398,9 +406,10 @@
 // machine would be up.
 inline constexpr double kFreesSoonBootFraction = 0.8;
 // Fraction of a class's start objective after which only nearly done tasks count as capacity that becomes
-// free soon.
+// free soon: in a large fleet as much work arrives in the meantime.
 inline constexpr double kStartAtRiskFraction = 0.33;
-// Smoothing factor of the moving average of the load on on-demand instances, per autoscaler run.
+// Smoothing factor of the moving average of the load on on-demand instances, per autoscaler run: a memory of
+// about 50 s.
 inline constexpr double kOnDemandLoadSmoothingFactor = 0.1;
 // Smoothed load in machines, less the free spot instances, from which on spot instances are requested as a
 // replacement.
@@ -419,7 +428,8 @@
 // Fraction of its type's boot time for which an idle spot instance is kept. Keeping it longer costs more than
 // booting another one.
 inline constexpr double kSpotIdleBootFraction = 0.6;
-// The same for on-demand instances, which cost more.
+// The same for on-demand instances. Keeping them costs about three times as much, and one that a spot
+// instance replaces is not booted again.
 inline constexpr double kOnDemandIdleBootFraction = 0.2;
 // Time for which an offering (type, zone, spot or on-demand) is not requested after a refusal for lack of
 // capacity. Doubles with each further refusal up to the upper bound.
@@ -439,18 +449,19 @@
 inline constexpr double kScaleOutCallRateFraction = 0.6;
 
 // ---- Logging ----------------------------------------------------------------------------------------------
-// Bins of the logarithmic histogram of submission latencies.
+// Bins of the logarithmic histogram of submission latencies. Each is a quarter wider than the one before.
 inline constexpr unsigned kLatencyBinCount = 40;
 // Range of the histogram.
 inline constexpr double kMinLatencySeconds = 0.001;
 inline constexpr double kMaxLatencySeconds = 8.0;
-// Log lines about single cancellations between two summaries. Further ones are only counted.
+// Log lines about single cancellations between two summaries. Further ones are only counted: a zone that is
+// cut off, or a user who cancels everything, would otherwise cause thousands at once.
 inline constexpr std::size_t kMaxCancellationLogLines = 50;
 // Time between log lines about user requests.
 inline constexpr double kUserLogIntervalSeconds = 30.0;
 
 // ---- Settings ---------------------------------------------------------------------------------------------
-// Bytes of a settings file.
+// Bytes of a settings file. A real one has a few KiB.
 inline constexpr std::size_t kMaxSettingsBytes = 4ull * 1024 * 1024;
 
 }  // namespace dockdyke::constants
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -94,7 +94,8 @@
   bool assignment_pass_requested() const { return assignment_pass_requested_; }
   void request_assignment_pass(bool requested = true) { assignment_pass_requested_ = requested; }
 
-  // The number of machines and jobs examined while assigning tasks; a measure of the scheduling cost.
+  // The number of machines and jobs examined while assigning tasks; a measure of the scheduling cost, which
+  // must not grow with the fleet.
   std::uint64_t scanned() const { return scanned_; }
   void count_scanned(std::size_t items) { scanned_ += items; }
 
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -33,7 +33,8 @@
 
   // Returns for how many seconds the task has been observed running.
   double ran_s(Time now) const { return run_started_at > 0 ? now - run_started_at : 0; }
-  // Returns whether no worker can have received its start command.
+  // Returns whether no worker can have received its start command. False for an adopted task that was
+  // observed: it would otherwise keep its assignment after its worker's lease expired between two heartbeats.
   bool never_dispatched() const { return !dispatched && !observed && !adopted; }
   // Marks the task to be stopped. Of several requested grace periods, the shortest applies.
   void request_stop(double grace_period_s);
@@ -113,6 +114,7 @@
     const auto found = assignments_by_zone.find(zone);
     return found == assignments_by_zone.end() ? 0 : found->second;
   }
+  // A better estimate than the owner's, but ordering the queue by it would delay the rest of long jobs.
   double mean_run_s() const { return completed_runs > 0 ? total_run_s / completed_runs : 0; }
   bool compatible_with(std::size_t type_number) const {
     return type_number < compatible_types.size() && compatible_types[type_number];
--- a/src/core/job_queue.cpp
+++ b/src/core/job_queue.cpp
@@ -43,7 +43,8 @@
 
 // Returns the sort key of a waiting job. Starving jobs come first, in the order of their submission. The
 // others are sorted by fair share, priority and earliest SLO deadline. A job that can no longer meet that
-// deadline keeps its position, so that it does not finish even later.
+// deadline keeps its position, so that it does not finish even later: in a large fleet no single job's work
+// is enough to save another. Ordering by latest start times would keep short jobs waiting.
 auto sort_key(const QueuedJob& queued) {
   const Job& job = *queued.job;
   if (queued.starving) return std::tuple(0, 0, job.submitted_at, job.serial);
