Small tasks leave task slots to larger ones

Cause: with one limit for all tasks of a machine, an array of tiny tasks that run for long would take every slot, and jobs that fit would wait while CPUs and memory are free.

Change: tasks of at most 1/64 of a machine in each resource get at most 256 of its 512 slots. Larger ones are at most 63 per resource, so they always find one. The pre-selection of machines by the smallest request of all jobs checks for any slot.

--- a/src/constants.hpp
+++ b/src/constants.hpp
@@ -332,6 +332,11 @@
 // Tasks that a machine may hold, including exited ones that its heartbeats still list. A heartbeat takes up
 // to 100 bytes per task and must stay below kMaxRequestBodyBytes.
 inline constexpr std::size_t kMaxTasksPerMachine = 512;
+// Those of them that small tasks may take. Other tasks always find a slot, since their requests limit their
+// number.
+inline constexpr std::size_t kSmallTaskSlots = 256;
+// Fraction of a machine's resources up to which a task is small. At most 63 larger ones fit per resource.
+inline constexpr double kSmallTaskFraction = 1.0 / 64;
 // Slack before a job's latest start, as a multiple of the heartbeat round, below which the job is latency
 // critical and does not wait for a better machine.
 inline constexpr double kLatencyCriticalRoundFactor = 3;
--- a/src/core/capacity_planner.cpp
+++ b/src/core/capacity_planner.cpp
@@ -70,10 +70,10 @@
           free.task_slots / constants::kTaskSlotStep};
 }
 
-FreeCapacity to_capacity(const CapacitySteps& steps) {
+FreeCapacity to_capacity(const CapacitySteps& steps, const wire::MachineType& type) {
   const wire::Resources resources{static_cast<double>(steps.cpus), static_cast<double>(steps.gpus),
                                   static_cast<double>(steps.memory)};
-  return {resources * constants::kCapacityStep, steps.task_slots * constants::kTaskSlotStep};
+  return {resources * constants::kCapacityStep, steps.task_slots * constants::kTaskSlotStep, type.size};
 }
 
 struct GroupKey {
@@ -114,7 +114,8 @@
   std::vector<MachineGroup> groups;
   groups.reserve(counts.size());
   for (const auto& [key, machines] : counts)
-    groups.push_back({key.type, key.zone, key.spot, to_capacity(key.free), machines});
+    groups.push_back(
+        {key.type, key.zone, key.spot, to_capacity(key.free, state_.types()[key.type]), machines});
   return groups;
 }
 
--- a/src/core/job_queue.cpp
+++ b/src/core/job_queue.cpp
@@ -29,7 +29,7 @@
   for (const auto& [id, machine] : state.machines()) {
     if (!state.type_of(machine) || !constraints.accepts_work(machine, now)) continue;
     const auto free = constraints.free_capacity(machine);
-    if (free.fits(smallest_task_)) free_cpus[tier_of(machine)] += free.resources.cpus;
+    if (free.may_fit(smallest_task_)) free_cpus[tier_of(machine)] += free.resources.cpus;
   }
   last_open_tier_ = 0;
   double open_cpus = free_cpus[0];
--- a/src/core/task_fit.cpp
+++ b/src/core/task_fit.cpp
@@ -28,13 +28,20 @@
   return static_cast<std::size_t>(count);
 }
 
-bool FreeCapacity::fits(const wire::Resources& task) const {
-  return task_slots > 0 && task.fits_into(resources);
+std::ptrdiff_t FreeCapacity::slots_for(const wire::Resources& task) const {
+  constexpr std::ptrdiff_t kSlotsForLargerTasks = constants::kMaxTasksPerMachine - constants::kSmallTaskSlots;
+  const bool small = task.fits_into(machine_size * constants::kSmallTaskFraction);
+  return small ? task_slots - kSlotsForLargerTasks : task_slots;
 }
 
 std::size_t FreeCapacity::tasks_fitting(const wire::Resources& task) const {
-  if (task_slots <= 0) return 0;
-  return std::min(static_cast<std::size_t>(task_slots), core::tasks_fitting(task, resources));
+  const std::ptrdiff_t slots = slots_for(task);
+  if (slots <= 0) return 0;
+  return std::min(static_cast<std::size_t>(slots), core::tasks_fitting(task, resources));
+}
+
+bool FreeCapacity::may_fit(const wire::Resources& minimum) const {
+  return task_slots > 0 && minimum.fits_into(resources);
 }
 
 void FreeCapacity::take(const wire::Resources& total, std::size_t tasks) {
@@ -48,7 +55,7 @@
 }
 
 FreeCapacity empty_machine_capacity(const wire::MachineType& type) {
-  return {type.size, static_cast<std::ptrdiff_t>(constants::kMaxTasksPerMachine)};
+  return {type.size, static_cast<std::ptrdiff_t>(constants::kMaxTasksPerMachine), type.size};
 }
 
 }  // namespace dockdyke::core
--- a/src/core/task_placer.cpp
+++ b/src/core/task_placer.cpp
@@ -49,8 +49,9 @@
     state_.count_scanned(1);
     if (machine->type_number >= state_.types().size()) continue;
     const auto free = constraints_.free_capacity(*machine);
-    if (!free.fits(pass.smallest_task) || !constraints_.accepts_work(*machine, now)) continue;
+    if (!free.may_fit(pass.smallest_task) || !constraints_.accepts_work(*machine, now)) continue;
     auto& largest = pass.largest_free[machine->type_number];
+    largest.machine_size = free.machine_size;
     largest.resources = {std::max(largest.resources.cpus, free.resources.cpus),
                          std::max(largest.resources.gpus, free.resources.gpus),
                          std::max(largest.resources.memory_gb, free.resources.memory_gb)};
@@ -83,7 +84,7 @@
     pass.assigned += assigned;
     if (assigned > 0)
       std::erase_if(pass.machines, [&](const Machine* machine) {
-        return !constraints_.free_capacity(*machine).fits(pass.smallest_task);
+        return !constraints_.free_capacity(*machine).may_fit(pass.smallest_task);
       });
     if (pass.assigned >= constants::kMaxAssignmentsPerPass) return;
   }
--- a/src/core/worker_commands.cpp
+++ b/src/core/worker_commands.cpp
@@ -99,7 +99,7 @@
 
 bool WorkerCommands::has_stable_free_capacity(const Machine& machine, Time now) const {
   const auto free = constraints_.free_capacity(machine);
-  if (!constraints_.accepts_work(machine, now) || !free.fits(queue_.tiers().smallest_task())) return false;
+  if (!constraints_.accepts_work(machine, now) || !free.may_fit(queue_.tiers().smallest_task())) return false;
   // While its response is held, the worker sends no heartbeat and cannot report that a task has ended.
   return std::none_of(
       machine.assignments.begin(), machine.assignments.end(), [now](const AssignedTask& task) {
