--- a/src/core/cancellation_tracker.cpp
+++ b/src/core/cancellation_tracker.cpp
@@ -78,7 +78,9 @@
       constants::kCancellationWarningFraction * state_.config().cancellation_timeout_s;
   for (auto& [serial, progress] : progress_) {
     const Job* job = state_.find_job(serial);
-    if (!job || progress.reported_at_risk || time_left_s(*job, now) >= at_risk_threshold_s) continue;
+    if (!job || progress.reported_at_risk ||
+        state_.cancellation_time_left_s(*job, now) >= at_risk_threshold_s)
+      continue;
     progress.reported_at_risk = true;
     reports_.push_back(make_report(CancellationReport::Kind::at_risk, *job, now));
     add_machine_details(*job, now, reports_.back());
@@ -94,7 +96,7 @@
   for (const auto& [serial, progress] : progress_) {
     const Job* job = state_.find_job(serial);
     if (!job) continue;
-    const double left_s = time_left_s(*job, now);
+    const double left_s = state_.cancellation_time_left_s(*job, now);
     out.least_time_left_s = out.jobs == 0 ? left_s : std::min(out.least_time_left_s, left_s);
     ++out.jobs;
     out.tasks += job->assignments.size();
@@ -102,16 +104,12 @@
   return out;
 }
 
-double CancellationTracker::time_left_s(const Job& job, Time now) const {
-  return state_.config().cancellation_timeout_s - (now - job.cancelled_at);
-}
-
 CancellationReport CancellationTracker::make_report(CancellationReport::Kind kind, const Job& job,
                                                     Time now) const {
   CancellationReport out;
   out.kind = kind;
   out.job = job.spec.id;
-  out.time_left_s = time_left_s(job, now);
+  out.time_left_s = state_.cancellation_time_left_s(job, now);
   out.tasks = job.assignments.size();
   const Progress& progress = progress_.at(job.serial);
   out.stops_sent = progress.stops_sent;
--- a/src/core/cancellation_tracker.hpp
+++ b/src/core/cancellation_tracker.hpp
@@ -37,7 +37,6 @@
     bool reported_at_risk = false;
   };
 
-  double time_left_s(const Job& job, Time now) const;
   CancellationReport make_report(CancellationReport::Kind kind, const Job& job, Time now) const;
 
   const ClusterState& state_;
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -52,6 +52,10 @@
   return job;
 }
 
+double ClusterState::cancellation_time_left_s(const Job& job, Time now) const {
+  return config_.cancellation_timeout_s - (now - job.cancelled_at);
+}
+
 void ClusterState::remove_job(const JobId& id, Time now) {
   ended_jobs_[id] = now;
   jobs_by_serial_.erase(jobs_.at(id).serial);
--- a/src/core/cluster_state.hpp
+++ b/src/core/cluster_state.hpp
@@ -44,6 +44,8 @@
   const Job* find_job(const JobId& id) const;
   Job* find_job(std::uint32_t serial) const;
   Job& add_job(const wire::JobSpec& spec, Revision version, Time submitted_at, Time now);
+  // Returns the time until the tasks of the cancelled job must have ended; negative afterwards.
+  double cancellation_time_left_s(const Job& job, Time now) const;
   // Removes the job and keeps a tombstone of it for `kTombstoneTtlSeconds`.
   void remove_job(const JobId& id, Time now);
   bool recently_ended(const JobId& id) const { return ended_jobs_.contains(id); }
--- a/src/core/failure_detector.cpp
+++ b/src/core/failure_detector.cpp
@@ -34,7 +34,7 @@
   std::optional<double> left_s;
   for (const auto& task : machine.assignments) {
     if (!task.job->cancelled) continue;
-    const double task_left_s = state_.config().cancellation_timeout_s - (now - task.job->cancelled_at);
+    const double task_left_s = state_.cancellation_time_left_s(*task.job, now);
     left_s = std::min(task_left_s, left_s.value_or(task_left_s));
   }
   return left_s;
--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -90,7 +90,6 @@
   const Job* job(const JobId& id) const { return state_.find_job(id); }
   const Machine* machine(const MachineId& id) const { return state_.find_machine(id); }
   std::size_t job_count() const { return state_.jobs().size(); }
-  std::size_t machine_count() const { return state_.machines().size(); }
   // Returns the number of machines whose workers are expected to send heartbeats.
   std::size_t up_machine_count() const;
   // Returns the jobs that should have an active record in the state service.
--- a/src/core/machine.hpp
+++ b/src/core/machine.hpp
@@ -53,8 +53,9 @@
   Time last_response_at = 0;
   // Its last heartbeat has no response yet, so commands can be sent.
   bool response_pending = false;
-  // Consecutive heartbeats whose token shows that the previous response did not arrive, and the time of the
-  // first of them.
+  // Consecutive heartbeats which show that the previous response had no effect (the token is not
+  // acknowledged, an acknowledged exit is still listed, or a start is missing), and the time of the first of
+  // them.
   std::uint32_t undelivered_responses = 0;
   Time first_undelivered_at = 0;
   std::optional<Time> terminates_at;  // end of the termination notice, if there is one
