Stopped tasks free no task slots in preemption

Cause: with slots an urgent small task could have others stopped for one. The rule of the protocol allows preemption by priority, but this serves nobody.

Change: a victim, or a task that is being stopped, frees resources in a plan but no slot, so tasks that wait for a slot preempt nothing.

--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -51,7 +51,7 @@
     const bool above_low = task.job->spec.priority > wire::Priority::low;
     if (above_low && plan.fitting_tasks > 0) break;
     plan.above_low_priority = plan.above_low_priority || above_low;
-    free.release(task.job->spec.task_resources);
+    free.resources += task.job->spec.task_resources;
     pending.push_back(task);
     cost_s += victim_cost_s + 1;
     const std::size_t fitting_tasks = free.tasks_fitting(task_resources);
@@ -71,7 +71,7 @@
 FreeCapacity Preemption::capacity_after_stops(const Machine& machine) const {
   auto free = constraints_.free_capacity(machine);
   for (const auto& task : machine.assignments)
-    if (task.assignment().stopping) free.release(task.job->spec.task_resources);
+    if (task.assignment().stopping) free.resources += task.job->spec.task_resources;
   return free;
 }
 
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -65,7 +65,8 @@
   // the preemptor can use without victims.
   std::optional<Plan> make_plan(const QueuedJob& preemptor, Machine& machine, FreeCapacity free,
                                 std::size_t max_tasks, Time now) const;
-  // Returns the machine's free capacity once all tasks that are being stopped have ended.
+  // Returns the machine's free capacity once all tasks that are being stopped have ended. Stopped tasks free
+  // resources but no task slots: otherwise a larger task would be stopped again and again for a small one.
   FreeCapacity capacity_after_stops(const Machine& machine) const;
   // Claims capacity that is free or will be free by earlier stops, and makes plans for the remaining tasks.
   Demand find_demand(const QueuedJob& preemptor, const std::vector<Machine*>& machines,
