Log why the start of an assigned task has not been sent

The log shows never_dispatched=1 throughout, which a lost write, a lost start, a worker that does not acknowledge the token and a machine that gets no starts all look like. Change: the event undispatched_tasks, every 5 s on the leader while there are any: their number, and of the one assigned first its machine, how long it has waited, whether its assignment is stored and why its machine gets no starts. One line however many tasks. Behaviour is unchanged.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -118,6 +118,17 @@
       freshness_.watch_age_s(), freshness_.lease_age_s(), record_watcher_.failed_watches());
 }
 
+void LeaderTerm::log_undispatched_tasks() const {
+  const auto summary = state_machine_.undispatched_summary(context_.now());
+  if (summary.tasks == 0) return;
+  spdlog::info(
+      "event=undispatched_tasks token={} tasks={} not_durable={} withheld={} job={} task={} machine={} "
+      "waited_s={:.1f} durable={} obstacle={}",
+      token().value, summary.tasks, summary.not_durable, summary.withheld, summary.task.job.value,
+      summary.task.index, summary.machine.value, summary.waited_s, summary.durable,
+      core::to_string(summary.obstacle));
+}
+
 void LeaderTerm::log_statistics() {
   for (const auto& [offering, usage] : state_machine_.usage_by_offering())
     spdlog::debug(
--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -40,6 +40,7 @@
 #include "core/task_placer.hpp"
 #include "core/termination_notices.hpp"
 #include "core/time.hpp"
+#include "core/undispatched_tasks.hpp"
 #include "core/views.hpp"
 #include "core/worker_commands.hpp"
 #include "core/write_queue.hpp"
@@ -97,6 +98,7 @@
   wire::Resources team_usage(const std::string& team) const { return state_.team_usage(team); }
   const FleetSummary& fleet_summary() const { return autoscaler_.summary(); }
   AssignmentCounts assignment_counts() const;
+  UndispatchedSummary undispatched_summary(Time now) const { return undispatched_tasks_.summary(now); }
   CancellationSummary cancellation_summary(Time now) const { return cancellations_.summary(now); }
   std::map<InstanceOffering, OfferingUsage> usage_by_offering() const;
   std::size_t task_log_segments() const { return task_log_.segment_count(); }
@@ -147,6 +149,7 @@
   TerminationNotices termination_notices_;
   MachineHealth health_;
   FailureDetector failure_detector_;
+  UndispatchedTasks undispatched_tasks_;
   Reconciler reconciler_;
   WorkerCommands worker_commands_;
   // The cloud
--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -7,6 +7,26 @@
 
 namespace dockdyke::core {
 
+std::string_view to_string(StartObstacle obstacle) {
+  switch (obstacle) {
+    case StartObstacle::none:
+      return "none";
+    case StartObstacle::token_not_acknowledged:
+      return "token_not_acknowledged";
+    case StartObstacle::draining:
+      return "draining";
+    case StartObstacle::terminating:
+      return "terminating";
+    case StartObstacle::deletion_requested:
+      return "deletion_requested";
+    case StartObstacle::unresponsive:
+      return "unresponsive";
+    case StartObstacle::responses_lost:
+      return "responses_lost";
+  }
+  return "none";
+}
+
 bool SchedulingConstraints::unresponsive(const Machine& machine, Time now) const {
   return now - machine.last_heartbeat_at >
          constants::kUnresponsiveIntervalFactor * state_.config().heartbeat_interval_s;
@@ -25,6 +45,17 @@
          now >= machine.assignments_resume_at && !unresponsive(machine, now);
 }
 
+StartObstacle SchedulingConstraints::start_obstacle(const Machine& machine, Time now) const {
+  if (machine.scale_in_requested) return StartObstacle::deletion_requested;
+  if (machine.terminates_at) return StartObstacle::terminating;
+  if (machine.draining) return StartObstacle::draining;
+  if (unresponsive(machine, now)) return StartObstacle::unresponsive;
+  if (machine.undelivered_responses >= constants::kUndeliveredResponsesThreshold)
+    return StartObstacle::responses_lost;
+  if (!machine.token_acknowledged) return StartObstacle::token_not_acknowledged;
+  return StartObstacle::none;
+}
+
 FreeCapacity SchedulingConstraints::free_capacity(const Machine& machine) const {
   const auto* type = state_.type_of(machine);
   if (!type) return {};
--- a/src/core/scheduling_constraints.hpp
+++ b/src/core/scheduling_constraints.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "core/cluster_state.hpp"
 #include "core/job.hpp"
@@ -18,6 +19,20 @@
 // Number of further tasks of a job that may start in each zone, or std::nullopt for no limit in any zone.
 using ZoneCapacity = std::optional<std::map<std::string, std::size_t>>;
 
+// Why a machine gets no start commands.
+enum class StartObstacle {
+  none,
+  token_not_acknowledged,  // passes once the worker's heartbeats echo the token
+  draining,
+  terminating,
+  deletion_requested,
+  unresponsive,
+  responses_lost,
+};
+
+// Returns the value's name for the log.
+std::string_view to_string(StartObstacle obstacle);
+
 // Evaluates the constraints on a read-only cluster state.
 class SchedulingConstraints {
  public:
@@ -30,6 +45,8 @@
   // Returns whether tasks may be assigned to the machine: it is up and responsive, its worker has
   // acknowledged this leader's token, and it is neither draining, terminating nor excluded after faults.
   bool accepts_work(const Machine& machine, Time now) const;
+  // Returns why the machine gets no start commands, for the tasks that it already holds.
+  StartObstacle start_obstacle(const Machine& machine, Time now) const;
   // Returns the machine's capacity without that of its assignments; zero if its type is unknown. Exited tasks
   // that its worker still lists take no resources.
   FreeCapacity free_capacity(const Machine& machine) const;
--- a/src/core/views.hpp
+++ b/src/core/views.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 
+#include "core/scheduling_constraints.hpp"
 #include "wire/messages.hpp"
 
 namespace dockdyke::core {
@@ -44,6 +45,19 @@
   std::size_t running = 0;
 };
 
+// Assigned tasks whose start command has not been sent.
+struct UndispatchedSummary {
+  std::size_t tasks = 0;
+  std::size_t not_durable = 0;  // of them, those whose assignment is not stored yet
+  std::size_t withheld = 0;     // of them, those whose machine gets no start commands
+  // Of the task that was assigned first:
+  wire::TaskId task;
+  MachineId machine;
+  double waited_s = 0;  // since its assignment
+  bool durable = false;
+  StartObstacle obstacle = StartObstacle::none;
+};
+
 // A step in the cancellation of a job that had tasks on machines.
 struct CancellationReport {
   enum class Kind {
