--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -139,6 +139,7 @@
   const auto tasks = state_machine_.assignment_counts();
   spdlog::info("event=task_assignments never_dispatched={} fetching={} running={}", tasks.never_dispatched,
                tasks.fetching, tasks.running);
+  log_undispatched_tasks();
   const auto fleet = state_machine_.fleet_summary();
   spdlog::info(
       "event=fleet machines={} booting={} saturated={} scale_in_candidates={} free={} waiting_tasks={} "
