Take tasks back from machines that get no start commands

Cause: what keeps a machine from working stood in three lists: for assigning tasks, for sending starts, and for taking back tasks whose start was not sent. Draining machines and those whose deletion is requested get no starts, but kept such tasks; so did a worker that receives no responses, until its machine was deleted. Change: SchedulingConstraints::start_obstacle says why a machine gets no starts; assigning, sending and taking back ask it. After each heartbeat and each second a machine with a lasting obstacle gives its undispatched tasks back, which no worker can have received. Failure detection and termination notices no longer do this on their own.

--- a/src/core/failure_detector.cpp
+++ b/src/core/failure_detector.cpp
@@ -20,9 +20,7 @@
 
 void FailureDetector::expire_leases(Time now) {
   for (auto& [id, machine] : state_.machines()) {
-    if (machine.assignments.empty()) continue;
-    if (constraints_.unresponsive(machine, now)) lifecycle_.release_undispatched(machine, now);
-    if (!lease_expired(machine, now)) continue;
+    if (machine.assignments.empty() || !lease_expired(machine, now)) continue;
     const auto assignments = machine.assignments;
     // A completed gang is removed once all its tasks are confirmed ended, so this may remove the job.
     for (const auto& task : assignments)
--- a/src/core/leader_state_machine.cpp
+++ b/src/core/leader_state_machine.cpp
@@ -22,12 +22,12 @@
       lifecycle_(state_, queue_, task_log_, cancellations_, effects_),
       recovery_(state_, task_log_, writes_, lifecycle_),
       gang_checkpoint_(state_, constraints_, lifecycle_, effects_),
-      termination_notices_(state_, lifecycle_, gang_checkpoint_),
+      termination_notices_(state_, gang_checkpoint_),
       health_(state_, constraints_),
       failure_detector_(state_, constraints_, lifecycle_),
-      undispatched_tasks_(state_, constraints_),
-      reconciler_(state_, queue_, task_log_, writes_, lifecycle_, health_, termination_notices_,
-                  run_time_estimator_),
+      undispatched_tasks_(state_, constraints_, lifecycle_),
+      reconciler_(state_, queue_, task_log_, writes_, lifecycle_, health_, undispatched_tasks_,
+                  termination_notices_, run_time_estimator_),
       worker_commands_(state_, constraints_, queue_, cancellations_),
       scale_out_(token, effects_),
       scale_in_(state_, effects_),
@@ -211,6 +211,7 @@
   health_.drain_faulty_machines(now);
   gang_scheduler_.abort_incomplete_attempts(now);
   for (auto& [id, machine] : state_.machines()) {
+    undispatched_tasks_.release_if_obstructed(machine, now);
     termination_notices_.apply(machine, now);
     health_.drain_if_straggler(machine, now);
   }
--- a/src/core/reconciler.cpp
+++ b/src/core/reconciler.cpp
@@ -13,7 +13,7 @@
 using wire::TaskState;
 
 Reconciler::Reconciler(ClusterState& state, JobQueue& queue, TaskLog& task_log, WriteQueue& writes,
-                       TaskLifecycle& lifecycle, MachineHealth& health,
+                       TaskLifecycle& lifecycle, MachineHealth& health, UndispatchedTasks& undispatched_tasks,
                        TerminationNotices& termination_notices, RunTimeEstimator& run_time_estimator)
     : state_(state),
       queue_(queue),
@@ -21,6 +21,7 @@
       writes_(writes),
       lifecycle_(lifecycle),
       health_(health),
+      undispatched_tasks_(undispatched_tasks),
       termination_notices_(termination_notices),
       run_time_estimator_(run_time_estimator) {}
 
@@ -38,12 +39,13 @@
   if (!state_.loaded()) return HeartbeatOutcome::accepted;
   if (machine.token_acknowledged) {
     reconcile_tasks(machine, heartbeat, now);
-    termination_notices_.apply(machine, now);
   } else {
     // A previous leader may still start tasks on the worker, so a task that this heartbeat lacks is not
     // confirmed ended. Reported tasks without an assignment can already be stopped.
     record_unassigned_tasks(machine, heartbeat);
   }
+  undispatched_tasks_.release_if_obstructed(machine, now);
+  if (machine.token_acknowledged) termination_notices_.apply(machine, now);
   return HeartbeatOutcome::accepted;
 }
 
--- a/src/core/reconciler.hpp
+++ b/src/core/reconciler.hpp
@@ -14,6 +14,7 @@
 #include "core/task_log.hpp"
 #include "core/termination_notices.hpp"
 #include "core/time.hpp"
+#include "core/undispatched_tasks.hpp"
 #include "core/views.hpp"
 #include "core/write_queue.hpp"
 
@@ -22,8 +23,8 @@
 class Reconciler {
  public:
   Reconciler(ClusterState& state, JobQueue& queue, TaskLog& task_log, WriteQueue& writes,
-             TaskLifecycle& lifecycle, MachineHealth& health, TerminationNotices& termination_notices,
-             RunTimeEstimator& run_time_estimator);
+             TaskLifecycle& lifecycle, MachineHealth& health, UndispatchedTasks& undispatched_tasks,
+             TerminationNotices& termination_notices, RunTimeEstimator& run_time_estimator);
 
   // Applies a heartbeat, unless it is stale or its token is higher than this leader's.
   HeartbeatOutcome apply(const wire::Heartbeat& heartbeat, Time now);
@@ -68,6 +69,7 @@
   WriteQueue& writes_;
   TaskLifecycle& lifecycle_;
   MachineHealth& health_;
+  UndispatchedTasks& undispatched_tasks_;
   TerminationNotices& termination_notices_;
   RunTimeEstimator& run_time_estimator_;
 };
--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -27,6 +27,10 @@
   return "none";
 }
 
+bool is_lasting(StartObstacle obstacle) {
+  return obstacle != StartObstacle::none && obstacle != StartObstacle::token_not_acknowledged;
+}
+
 bool SchedulingConstraints::unresponsive(const Machine& machine, Time now) const {
   return now - machine.last_heartbeat_at >
          constants::kUnresponsiveIntervalFactor * state_.config().heartbeat_interval_s;
@@ -38,11 +42,9 @@
 }
 
 bool SchedulingConstraints::accepts_work(const Machine& machine, Time now) const {
-  return machine.state == MachineState::up && machine.token_acknowledged && !machine.draining &&
-         !machine.scale_in_requested && !machine.terminates_at && !machine.runs_unknown_tasks &&
-         machine.failed_jobs.size() < constants::kFaultyMachineJobThreshold &&
-         machine.undelivered_responses < constants::kUndeliveredResponsesThreshold &&
-         now >= machine.assignments_resume_at && !unresponsive(machine, now);
+  return machine.state == MachineState::up && start_obstacle(machine, now) == StartObstacle::none &&
+         !machine.runs_unknown_tasks && machine.failed_jobs.size() < constants::kFaultyMachineJobThreshold &&
+         now >= machine.assignments_resume_at;
 }
 
 StartObstacle SchedulingConstraints::start_obstacle(const Machine& machine, Time now) const {
--- a/src/core/scheduling_constraints.hpp
+++ b/src/core/scheduling_constraints.hpp
@@ -33,6 +33,10 @@
 // Returns the value's name for the log.
 std::string_view to_string(StartObstacle obstacle);
 
+// Returns whether the machine may get no start commands for so long that its undispatched tasks must go to
+// other machines.
+bool is_lasting(StartObstacle obstacle);
+
 // Evaluates the constraints on a read-only cluster state.
 class SchedulingConstraints {
  public:
@@ -42,8 +46,8 @@
   bool unresponsive(const Machine& machine, Time now) const;
   // Returns whether the machine has been booting for so long that it may never come up.
   bool boot_overdue(const Machine& machine, Time now) const;
-  // Returns whether tasks may be assigned to the machine: it is up and responsive, its worker has
-  // acknowledged this leader's token, and it is neither draining, terminating nor excluded after faults.
+  // Returns whether tasks may be assigned to the machine: it is up, gets start commands, and is not excluded
+  // after faults.
   bool accepts_work(const Machine& machine, Time now) const;
   // Returns why the machine gets no start commands, for the tasks that it already holds.
   StartObstacle start_obstacle(const Machine& machine, Time now) const;
--- a/src/core/termination_notices.cpp
+++ b/src/core/termination_notices.cpp
@@ -6,13 +6,11 @@
 
 namespace dockdyke::core {
 
-TerminationNotices::TerminationNotices(const ClusterState& state, TaskLifecycle& lifecycle,
-                                       GangCheckpoint& gang_checkpoint)
-    : state_(state), lifecycle_(lifecycle), gang_checkpoint_(gang_checkpoint) {}
+TerminationNotices::TerminationNotices(const ClusterState& state, GangCheckpoint& gang_checkpoint)
+    : state_(state), gang_checkpoint_(gang_checkpoint) {}
 
 void TerminationNotices::apply(Machine& machine, Time now) {
   if (!machine.terminates_at) return;
-  lifecycle_.release_undispatched(machine, now);
   const double time_left_s = *machine.terminates_at - now;
   for (const auto& task : machine.assignments) {
     if (task.assignment().stopping) continue;
--- a/src/core/termination_notices.hpp
+++ b/src/core/termination_notices.hpp
@@ -3,14 +3,13 @@
 
 #include "core/cluster_state.hpp"
 #include "core/gang_checkpoint.hpp"
-#include "core/task_lifecycle.hpp"
 #include "core/time.hpp"
 
 namespace dockdyke::core {
 
 class TerminationNotices {
  public:
-  TerminationNotices(const ClusterState& state, TaskLifecycle& lifecycle, GangCheckpoint& gang_checkpoint);
+  TerminationNotices(const ClusterState& state, GangCheckpoint& gang_checkpoint);
 
   // Stops the tasks that cannot end before the machine terminates, early enough to write a checkpoint. Does
   // nothing if the machine has no termination notice.
@@ -22,7 +21,6 @@
   void stop_if_due(const AssignedTask& task, double time_left_s, Time now);
 
   const ClusterState& state_;
-  TaskLifecycle& lifecycle_;
   GangCheckpoint& gang_checkpoint_;
 };
 
--- a/src/core/undispatched_tasks.cpp
+++ b/src/core/undispatched_tasks.cpp
@@ -2,8 +2,14 @@
 
 namespace dockdyke::core {
 
-UndispatchedTasks::UndispatchedTasks(const ClusterState& state, const SchedulingConstraints& constraints)
-    : state_(state), constraints_(constraints) {}
+UndispatchedTasks::UndispatchedTasks(const ClusterState& state, const SchedulingConstraints& constraints,
+                                     TaskLifecycle& lifecycle)
+    : state_(state), constraints_(constraints), lifecycle_(lifecycle) {}
+
+void UndispatchedTasks::release_if_obstructed(Machine& machine, Time now) {
+  if (machine.assignments.empty() || !is_lasting(constraints_.start_obstacle(machine, now))) return;
+  lifecycle_.release_undispatched(machine, now);
+}
 
 UndispatchedSummary UndispatchedTasks::summary(Time now) const {
   UndispatchedSummary summary;
--- a/src/core/worker_commands.cpp
+++ b/src/core/worker_commands.cpp
@@ -34,11 +34,9 @@
   // would never be sent while leaders change faster than heartbeats arrive, and each response renews the
   // worker's lease.
   add_stops(*machine, now, commands);
-  if (machine->token_acknowledged) {
-    add_acknowledgements(*machine, commands);
-    const bool accepts_starts = !machine->draining && !machine->terminates_at && !machine->scale_in_requested;
-    if (allow_starts && accepts_starts) add_starts(*machine, commands);
-  }
+  if (machine->token_acknowledged) add_acknowledgements(*machine, commands);
+  const bool gets_starts = constraints_.start_obstacle(*machine, now) == StartObstacle::none;
+  if (allow_starts && gets_starts) add_starts(*machine, commands);
   return commands.take();
 }
 
--- a/tests/core/scheduling_constraints_test.cpp
+++ b/tests/core/scheduling_constraints_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "cluster_fixture.hpp"
 
 namespace dockdyke::testing {
@@ -130,4 +132,32 @@
   }));
 }
 
+TEST_F(SchedulingConstraintsTest, OnlyLastingObstaclesTakeTasksFromMachine) {
+  Machine& machine = add_machine("n-1", "a");
+  EXPECT_EQ(constraints.start_obstacle(machine, now), StartObstacle::none);
+  EXPECT_FALSE(is_lasting(StartObstacle::none));
+  const auto obstacle_after = [&](auto change) {
+    const Machine original = machine;
+    change(machine);
+    const StartObstacle obstacle = constraints.start_obstacle(machine, now);
+    machine = original;
+    return obstacle;
+  };
+  const auto unacknowledged = obstacle_after([](Machine& m) { m.token_acknowledged = false; });
+  EXPECT_EQ(unacknowledged, StartObstacle::token_not_acknowledged);
+  EXPECT_FALSE(is_lasting(unacknowledged)) << "the next heartbeats may acknowledge it";
+  const std::vector<StartObstacle> lasting{
+      obstacle_after([](Machine& m) { m.draining = true; }),
+      obstacle_after([](Machine& m) { m.terminates_at = 100; }),
+      obstacle_after([](Machine& m) { m.scale_in_requested = true; }),
+      obstacle_after([&](Machine& m) { m.last_heartbeat_at = now - 10; }),
+      obstacle_after([](Machine& m) { m.undelivered_responses = 2; }),
+  };
+  EXPECT_EQ(lasting,
+            (std::vector<StartObstacle>{StartObstacle::draining, StartObstacle::terminating,
+                                        StartObstacle::deletion_requested, StartObstacle::unresponsive,
+                                        StartObstacle::responses_lost}));
+  EXPECT_TRUE(std::all_of(lasting.begin(), lasting.end(), is_lasting));
+}
+
 }  // namespace dockdyke::testing
