Tests: copies of requests that were carried out start no task again

Cause: on a service like this a late copy of a start that had been carried out ran a task twice, and a cancelled one again. No test here delivered copies of requests other than heartbeats, nor after a task had been moved or cancelled. Change: the simulation records every request that arrives (users, forwarded, transactions, heartbeats, direct commands, cloud) and can deliver all of them once more, in random order. SafetyTest.CopiesOfHeartbeatsRepeatNoStart checks attempt by attempt.

--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -503,6 +503,54 @@
   EXPECT_EQ(cluster.apply_heartbeat(delayed, now), HeartbeatOutcome::stale);
 }
 
+// Guards against a second start of an attempt by copies of heartbeats, after its task was moved, completed or
+// cancelled.
+TEST_F(SafetyTest, CopiesOfHeartbeatsRepeatNoStart) {
+  complete_loading();
+  std::map<wire::TaskId, std::set<Attempt>> started;
+  std::vector<wire::Heartbeat> sent;
+  // Sends the worker's next heartbeat and copies of all earlier ones, and starts what the response commands.
+  const auto exchange_with_copies = [&](Worker& worker) {
+    sent.push_back(worker.next_heartbeat());
+    cluster.apply_heartbeat(sent.back(), now);
+    assign_and_write();
+    for (const auto& copy : sent) EXPECT_EQ(cluster.apply_heartbeat(copy, now), HeartbeatOutcome::stale);
+    for (const auto& command : receive_response(worker)) {
+      if (command.kind == CommandKind::acknowledge)
+        std::erase_if(worker.tasks, [&](const auto& task) { return task.task == command.task; });
+      if (command.kind != CommandKind::start) continue;
+      EXPECT_TRUE(started[command.task].insert(command.attempt).second)
+          << wire::to_string(command.task) << " attempt " << command.attempt << " is started twice";
+      worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
+    }
+  };
+  const auto end_tasks = [](Worker& worker, const std::string& job, ExitCause cause) {
+    for (auto& task : worker.tasks)
+      if (task.task.job == JobId(job)) task = {task.task, task.attempt, TaskState::exited, cause, false};
+  };
+  Worker first{"n-1"};
+  for (int i = 0; i < 2; ++i) exchange_with_copies(first);
+  for (const char* id : {"job-1", "job-2", "job-3"}) submit(job_spec(id, 1, 2));
+  for (int i = 0; i < 3; ++i) exchange_with_copies(first);
+  ASSERT_EQ(first.tasks.size(), 3u);
+  end_tasks(first, "job-1", ExitCause::done);
+  cluster.apply(JobRecordDeleted{JobId("job-2")}, now);
+  first.termination_notice_s = 60;
+  exchange_with_copies(first);
+  end_tasks(first, "job-2", ExitCause::stopped);
+  end_tasks(first, "job-3", ExitCause::stopped);  // it is moved
+  for (int i = 0; i < 3; ++i) exchange_with_copies(first);
+  EXPECT_TRUE(first.tasks.empty());
+  Worker second{"n-2"};
+  for (int i = 0; i < 4; ++i) {
+    exchange_with_copies(second);
+    exchange_with_copies(first);
+  }
+  const std::map<wire::TaskId, std::set<Attempt>> expected{
+      {{JobId("job-1"), 0}, {1}}, {{JobId("job-2"), 0}, {1}}, {{JobId("job-3"), 0}, {1, 2}}};
+  EXPECT_EQ(started, expected);
+}
+
 class QuotaTest : public ClusterTest {
  protected:
   static ClusterConfig config_with_quota() {
--- a/tests/support/invariants.cpp
+++ b/tests/support/invariants.cpp
@@ -21,7 +21,8 @@
   ++task_starts_;
   spdlog::debug("simulation t={:.1f} {} attempt {} starts on {}", elapsed_s(), wire::to_string(task.ref),
                 task.attempt, worker.id);
-  const SimJob& job = jobs_.at(task.ref.job.value);
+  SimJob& job = jobs_.at(task.ref.job.value);
+  ++job.task_starts;
   if (job.cancellation_confirmed_at &&
       seconds_between(*job.cancellation_confirmed_at, loop.now()) > options_.config.cancellation_timeout_s)
     ADD_FAILURE() << "cancelled task " << wire::to_string(task.ref) << " starts";
--- a/tests/support/simulated_links.cpp
+++ b/tests/support/simulated_links.cpp
@@ -21,6 +21,7 @@
   out.request_delay_s = random(0.001, 0.004);
   out.response_delay_s = random(0.001, 0.004);
   out.drop_request = !dropped_target.empty() && target == dropped_target;
+  if (slow_target && target == slow_target->target) out.response_delay_s = slow_target->response_delay_s;
   std::erase_if(link_faults_, [&](const LinkFault& each) { return each.until <= loop.now(); });
   for (const auto& each : link_faults_) {
     if (!from.starts_with(each.from) || !to.starts_with(each.to)) continue;
@@ -67,6 +68,7 @@
     Delivery duplicate = delivery;
     duplicate.request_delay_s = *delivery.duplicate_delay_s;
     duplicate.drop_response = true;
+    duplicate.copy = true;
     net::spawn(deliver(this, duplicate, from, to, method, target, body, response));
   }
   net::spawn(deliver(this, delivery, std::move(from), std::move(to), std::move(method), std::move(target),
@@ -80,6 +82,8 @@
                                     net::OneShot<net::HttpMessage> response) {
   if (delivery.drop_request) co_return;
   co_await simulation->loop.sleep(net::seconds(delivery.request_delay_s));
+  if (simulation->recording_requests_ && !delivery.copy && !delivery.refuse && !target.starts_with("/watch"))
+    simulation->recorded_requests_.push_back({from, to, method, target, body});
   net::HttpMessage message;
   if (to.starts_with("n-")) {
     std::optional<net::HttpMessage> worker_response =
@@ -102,6 +106,18 @@
   response.set(std::move(message));
 }
 
+void Simulation::deliver_copies(double duration_s) {
+  recording_requests_ = false;
+  for (const auto& request : recorded_requests_) {
+    Delivery delivery;
+    delivery.request_delay_s = random(0, duration_s);
+    delivery.drop_response = true;
+    delivery.copy = true;
+    net::spawn(deliver(this, delivery, request.from, request.to, request.method, request.target, request.body,
+                       net::OneShot<net::HttpMessage>(loop)));
+  }
+}
+
 net::Task<net::HttpMessage> Simulation::handle_at_controller(std::string to, std::string method,
                                                              std::string target, std::string body) {
   const ControllerSlot slot =
--- a/tests/support/simulated_users.cpp
+++ b/tests/support/simulated_users.cpp
@@ -86,13 +86,14 @@
   }
 }
 
-net::Task<void> Simulation::send_resubmission(Simulation* simulation, std::string id) {
+net::Task<void> Simulation::send_resubmission(Simulation* simulation, std::string id,
+                                              std::optional<int> controller) {
   SimJob& job = simulation->jobs_.at(id);
   if (!job.accepted_at) co_return;
   const auto requested_at = simulation->loop.now();
   const std::string body = wire::encode(wire::to_json(job.spec));
   std::optional<net::HttpMessage> response =
-      co_await simulation->send_user_request("POST", "/work", body, 5, std::nullopt);
+      co_await simulation->send_user_request("POST", "/work", body, 5, controller);
   if (!response) co_return;
   if (response->status == 400 || response->status == 422 || response->status == 201)
     ADD_FAILURE() << "accepted job lost: resubmission of " << id << " got " << response->status;
--- a/tests/support/simulation.hpp
+++ b/tests/support/simulation.hpp
@@ -34,7 +34,15 @@
   void submit(wire::JobSpec spec, std::optional<double> cancel_after_s = {});
   // Cancels the job through this controller, or through a random one for each attempt.
   void cancel(const std::string& id, std::optional<int> controller = {});
-  void resubmit(const std::string& id) { net::spawn(send_resubmission(this, id)); }
+  // Submits the accepted job again, to this controller or to a random one.
+  void resubmit(const std::string& id, std::optional<int> controller = {}) {
+    net::spawn(send_resubmission(this, id, controller));
+  }
+  // Keeps every request from now on that arrives at its receiver, except reads that wait for changes.
+  void record_requests() { recording_requests_ = true; }
+  const std::vector<DeliveredRequest>& recorded_requests() const { return recorded_requests_; }
+  // Delivers a copy of each recorded request, in random order within `duration_s`. Nobody gets the responses.
+  void deliver_copies(double duration_s);
 
   void inject_fault(std::string from, std::string to, LinkFaultKind kind, double duration_s,
                     double affected_fraction = 1);
@@ -90,6 +98,7 @@
   FakeStateService state_service;
   // Requests for this target are dropped.
   std::string dropped_target;
+  std::optional<SlowTarget> slow_target;
   // Makes the cloud respond 503 to every request.
   bool cloud_unavailable = false;
   // Number of machines that the cloud has in each zone, of spot and on-demand machines each.
@@ -252,7 +261,8 @@
                                                 std::optional<int> controller);
 
   // Submits an accepted job again and expects it to be recognised.
-  static net::Task<void> send_resubmission(Simulation* simulation, std::string id);
+  static net::Task<void> send_resubmission(Simulation* simulation, std::string id,
+                                           std::optional<int> controller);
 
   // ---- Invariants (invariants.cpp) ------------------------------------------------------------------------
 
@@ -293,6 +303,8 @@
   std::map<std::uint32_t, std::string> hosts_by_number_;
   std::map<std::string, std::uint32_t> host_numbers_;
   std::vector<LinkFault> link_faults_;
+  bool recording_requests_ = false;
+  std::vector<DeliveredRequest> recorded_requests_;
   net::TimePoint outage_until_;
   std::vector<std::unique_ptr<Transport>> transports_;
   std::vector<std::unique_ptr<app::Controller>> controllers_;
--- a/tests/support/simulation_types.hpp
+++ b/tests/support/simulation_types.hpp
@@ -111,6 +111,7 @@
   std::optional<net::TimePoint> cancellation_confirmed_at;
   std::optional<net::TimePoint> completion_confirmed_at;
   std::set<TaskIndex> completed_tasks;
+  std::size_t task_starts = 0;                      // on all workers, repeated starts included
   std::optional<net::TimePoint> last_response_at;   // to any request about the job
   std::optional<net::TimePoint> schedulable_since;  // since when a waiting task could be started
 };
@@ -123,6 +124,22 @@
   bool drop_request = false;
   bool drop_response = false;
   std::optional<double> duplicate_delay_s;
+  bool copy = false;  // the request has been delivered before
+};
+
+// A request that has arrived at its receiver.
+struct DeliveredRequest {
+  std::string from;
+  std::string to;
+  std::string method;
+  std::string target;
+  std::string body;
+};
+
+// Delays the responses to requests for a target.
+struct SlowTarget {
+  std::string target;
+  double response_delay_s = 0;
 };
 
 }  // namespace dockdyke::testing
