Ignore news of submissions that are older than the records a leader has loaded

Callers saw: a job is started after its cancellation was confirmed, and runs past the time by which it must be gone (simulated). Cause: the handler of a submission tells its controller's term of the stored job after waiting for the state service. The controller may have become leader in between, and the job may have been cancelled before that. The new term has no tombstone of it and takes the job for a new one. Change: LoadCompleted carries the revision up to which all stored jobs have been delivered; a submission of an unknown job with that version or an older one is ignored, since the job had ended. No stored or sent byte changes.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -83,7 +83,7 @@
   std::optional<LoadedRecords> records = co_await record_loader_.load();
   if (!records || !context_.alive()) co_return;
   for (auto& event : records->events) push(std::move(event));
-  push(core::LoadCompleted{});
+  push(core::LoadCompleted{records->revision});
   spdlog::info("event=state_loaded token={} revision={} records={} attempts={} took_s={:.2f}", token().value,
                records->revision.value, records->events.size(), records->attempts, age_s());
   context_.spawn(record_watcher_.run(records->revision));
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -35,7 +35,10 @@
   std::string key;
   std::vector<MachineId> machines;
 };
-struct LoadCompleted {};
+// All jobs with an active or terminating record of this or an earlier revision have been delivered.
+struct LoadCompleted {
+  Revision revision;
+};
 
 // ---- Jobs ----
 
--- a/src/core/leader_state_machine.cpp
+++ b/src/core/leader_state_machine.cpp
@@ -106,7 +106,8 @@
   scale_in_.adopt(event.key, event.machines, now);
 }
 
-void LeaderStateMachine::on(const LoadCompleted&, Time now) {
+void LeaderStateMachine::on(const LoadCompleted& event, Time now) {
+  loaded_revision_ = event.revision;
   recovery_.complete(now);
 }
 
@@ -117,6 +118,9 @@
   // record. A delayed submission event may also arrive after the job has ended.
   const auto& id = event.record.spec.id;
   if (!state_.loaded() || state_.find_job(id) || state_.recently_ended(id)) return;
+  // Loading has delivered all jobs up to its revision. A job that it lacked had ended by then, and its record
+  // was read before, for a request that this controller handled as a follower.
+  if (event.version <= loaded_revision_) return;
   add_job(event.record, event.version, now);
 }
 
--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -130,6 +130,7 @@
 
   Time elected_at_;
   std::int64_t elected_unix_ms_;  // the same point in time as Unix time
+  Revision loaded_revision_;      // up to which all stored jobs are known
 
   // State
   EffectQueue effects_;
--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -310,6 +310,18 @@
   EXPECT_EQ(cluster.job(JobId("job-1"))->assignments.at(0).machine->id, MachineId("n-1"));
 }
 
+// Guards against a job that runs after its end, since its record was read before a new leader loaded all
+// records and the submission event arrives afterwards.
+TEST_F(SafetyTest, SubmissionEventOlderThanLoadedRecordsIsIgnored) {
+  cluster.apply(LoadCompleted{Revision(60)}, now);
+  auto worker = connect_worker("n-1");
+  cluster.apply(JobSubmitted{job_record(job_spec("job-1", 1)), Revision(60)}, now);
+  EXPECT_EQ(count(exchange_heartbeat(worker), CommandKind::start), 0u);
+  EXPECT_EQ(cluster.job(JobId("job-1")), nullptr);
+  cluster.apply(JobSubmitted{job_record(job_spec("job-2", 1)), Revision(61)}, now);
+  EXPECT_EQ(count(exchange_heartbeat(worker), CommandKind::start), 1u);
+}
+
 TEST_F(SafetyTest, DelayedSubmissionEventDoesNotRestartEndedJob) {
   // A delayed watch response can deliver the submission after the job has ended and its record has been
   // removed.
--- a/tests/scenarios/late_copy_test.cpp
+++ b/tests/scenarios/late_copy_test.cpp
@@ -3,10 +3,12 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "constants.hpp"
 #include "peer/peer_messages.hpp"
 #include "simulation.hpp"
+#include "store/election.hpp"
 
 namespace dockdyke::testing {
 
@@ -131,4 +133,41 @@
                                            LeaderChange::replaced),
                          leader_change_name);
 
+// Guards against a job that runs after its confirmed cancellation, since a new leader had read its record
+// before the cancellation, for a repeated submission, and gets the response after the stored records are
+// loaded.
+TEST(LateSubmissionRead, DoesNotStartJobCancelledUnderPreviousLeader) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    SCOPED_TRACE(seed);
+    Simulation simulation({.seed = seed, .controllers = 2});
+    // Without machines the job waits, so that its records are deleted as soon as it is cancelled.
+    const auto offered = std::exchange(simulation.max_machines_per_offering, 0);
+    simulation.submit(job_spec("job-1", 1));
+    ASSERT_TRUE(simulation.run_until(
+        [&] { return simulation.leader() && simulation.job("job-1").accepted_at.has_value(); }, 30));
+    const int leader = *simulation.leader();
+    const int follower = 1 - leader;
+    simulation.slow_target = SlowTarget{"/store/open/job-1", 1.3};
+    simulation.resubmit("job-1", follower);
+    simulation.run(constants::kForwardTimeoutSeconds + 0.1);  // the follower now reads the record itself
+    simulation.slow_target.reset();
+    simulation.cancel("job-1", leader);
+    ASSERT_TRUE(simulation.run_until(
+        [&] {
+          return simulation.job("job-1").cancellation_confirmed_at &&
+                 !simulation.state_service.keys.contains("linger/job-1");
+        },
+        0.5));
+    simulation.crash_controller(leader, 20);
+    simulation.state_service.expire_lease_of(store::kLeaderKey);
+    simulation.run(3);
+    ASSERT_EQ(simulation.leader(), follower);
+    simulation.max_machines_per_offering = offered;
+    simulation.run(30);
+    EXPECT_EQ(simulation.job("job-1").task_starts, 0u);
+    EXPECT_TRUE(simulation.running_workers().empty()) << "no machine is rented for it";
+    if (HasFailure()) return;
+  }
+}
+
 }  // namespace dockdyke::testing
