Move the leader's read-only queries to a file of their own; one way for tests to follow commands

Cause: LeaderStateMachine was the largest file of the core, a fifth of it queries that read the state only. Change: src/core/state_queries has the queries as functions of ClusterState. Worker::run_started_tasks and Worker::end_tasks replace the loops in six test files; what these tests assert is unchanged.

--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -34,6 +34,7 @@
 #include "core/scale_out_requests.hpp"
 #include "core/scarce_types.hpp"
 #include "core/scheduling_constraints.hpp"
+#include "core/state_queries.hpp"
 #include "core/state_recovery.hpp"
 #include "core/task_lifecycle.hpp"
 #include "core/task_log.hpp"
@@ -87,20 +88,22 @@
   bool loaded() const { return state_.loaded(); }
   // Returns the progress of a job for status requests, or std::nullopt if the records are not loaded, or the
   // job is unknown or cancelled.
-  std::optional<JobProgress> progress(const JobId& id) const;
+  std::optional<JobProgress> progress(const JobId& id) const { return job_progress(state_, id); }
   const Job* job(const JobId& id) const { return state_.find_job(id); }
   const Machine* machine(const MachineId& id) const { return state_.find_machine(id); }
   std::size_t job_count() const { return state_.jobs().size(); }
   // Returns the number of machines whose workers are expected to send heartbeats.
-  std::size_t up_machine_count() const;
+  std::size_t up_machine_count() const { return core::up_machine_count(state_); }
   // Returns the jobs that should have an active record in the state service.
-  std::vector<JobId> active_jobs() const;
+  std::vector<JobId> active_jobs() const { return core::active_jobs(state_); }
   wire::Resources team_usage(const std::string& team) const { return state_.team_usage(team); }
   const FleetSummary& fleet_summary() const { return autoscaler_.summary(); }
-  AssignmentCounts assignment_counts() const;
+  AssignmentCounts assignment_counts() const { return core::assignment_counts(state_); }
   UndispatchedSummary undispatched_summary(Time now) const { return undispatched_tasks_.summary(now); }
   CancellationSummary cancellation_summary(Time now) const { return cancellations_.summary(now); }
-  std::map<InstanceOffering, OfferingUsage> usage_by_offering() const;
+  std::map<InstanceOffering, OfferingUsage> usage_by_offering() const {
+    return core::usage_by_offering(state_);
+  }
   std::size_t task_log_segments() const { return task_log_.segment_count(); }
   // Number of machines and jobs examined so far during task assignment. Tests check that the number per
   // assignment does not grow with the fleet.
--- a/tests/core/gang_capacity_reserve_test.cpp
+++ b/tests/core/gang_capacity_reserve_test.cpp
@@ -63,10 +63,7 @@
   auto worker_2 = connect_worker("n-2", "a", false);
   submit(gang_spec("job-1"));
   assign_and_write();
-  for (auto* worker : {&worker_1, &worker_2})
-    for (const auto& command : receive_response(*worker))
-      worker->report_task(command.task.job.value, command.task.index, command.attempt,
-                          wire::TaskState::running);
+  for (auto* worker : {&worker_1, &worker_2}) worker->run_started_tasks(receive_response(*worker));
   advance_time(1);
   auto other_job = job_spec("job-2", 8, 4);
   submit(other_job);
--- a/tests/core/placement_test.cpp
+++ b/tests/core/placement_test.cpp
@@ -202,9 +202,7 @@
   std::vector<Worker> workers{connect_worker("n-1"), connect_worker("n-2"), connect_worker("n-3")};
   submit(job_spec("job-1", 6));
   assign_and_write();
-  for (auto& worker : workers)
-    for (const auto& command : receive_response(worker))
-      worker.report_task("job-1", command.task.index, command.attempt, TaskState::running);
+  for (auto& worker : workers) worker.run_started_tasks(receive_response(worker));
   // Exchanges heartbeats for this long. Returns the most stop commands that one response had.
   auto run_for = [&](int seconds) {
     std::size_t stops = 0;
@@ -216,11 +214,7 @@
     return stops;
   };
   run_for(20);
-  for (std::size_t i = 0; i < 2; ++i)
-    for (auto& task : workers[i].tasks) {
-      task.state = TaskState::exited;
-      task.cause = ExitCause::done;
-    }
+  for (std::size_t i = 0; i < 2; ++i) workers[i].end_tasks(ExitCause::done);
   EXPECT_EQ(run_for(16), 0u) << "less than twice the run time on the other machines";
   EXPECT_EQ(run_for(8), 2u);
   workers[2].tasks.clear();
@@ -233,8 +227,7 @@
   EXPECT_TRUE(scaled_in.contains(MachineId("n-3")));
 
   workers = {connect_worker("n-4")};
-  for (const auto& command : receive_response(workers[0]))
-    workers[0].report_task("job-1", command.task.index, command.attempt, TaskState::running);
+  workers[0].run_started_tasks(receive_response(workers[0]));
   ASSERT_EQ(workers[0].tasks.size(), 2u);
   EXPECT_EQ(run_for(80), 0u) << "second attempts are not stopped as stragglers";
 }
@@ -388,10 +381,7 @@
       if (command.kind == CommandKind::acknowledge) worker.tasks.clear();
     }
     exchange_heartbeat(worker);
-    for (auto& task : worker.tasks) {
-      task.state = TaskState::exited;
-      task.cause = ExitCause::done;
-    }
+    worker.end_tasks(ExitCause::done);
     advance_time(2);
     waited_s += 2;
   }
@@ -453,10 +443,7 @@
       state_machine.apply_heartbeat(worker.next_heartbeat(), time);
       state_machine.assign_tasks(time);
       apply_writes();
-      for (const auto& command : state_machine.commands_for(MachineId(worker.name), true, time)) {
-        started += command.kind == CommandKind::start;
-        worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
-      }
+      started += worker.run_started_tasks(state_machine.commands_for(MachineId(worker.name), true, time));
       state_machine.response_sent(MachineId(worker.name), time);
       worker.token = kToken;
     }
@@ -541,8 +528,7 @@
   low_priority.priority = wire::Priority::low;
   low_priority.estimated_run_s = 300;
   submit(low_priority);
-  for (const auto& command : exchange_heartbeat(worker))
-    worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
+  worker.run_started_tasks(exchange_heartbeat(worker));
   ASSERT_EQ(worker.tasks.size(), 2u);
   exchange_heartbeat(worker);
   auto high_priority = job_spec("job-3", 1, 4);
--- a/tests/core/preemption_test.cpp
+++ b/tests/core/preemption_test.cpp
@@ -25,12 +25,11 @@
   // commands.
   std::size_t exchange_with_all_workers() {
     std::size_t stops = 0;
-    for (auto& worker : workers)
-      for (const auto& command : exchange_heartbeat(worker)) {
-        if (command.kind == CommandKind::start)
-          worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
-        stops += command.kind == CommandKind::stop;
-      }
+    for (auto& worker : workers) {
+      const auto commands = exchange_heartbeat(worker);
+      worker.run_started_tasks(commands);
+      stops += count(commands, CommandKind::stop);
+    }
     return stops;
   }
   // Submits a job with a higher priority and exchanges heartbeats for some seconds, or until the first stop
--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -527,13 +527,14 @@
     cluster.apply_heartbeat(sent.back(), now);
     assign_and_write();
     for (const auto& copy : sent) EXPECT_EQ(cluster.apply_heartbeat(copy, now), HeartbeatOutcome::stale);
-    for (const auto& command : receive_response(worker)) {
+    const auto commands = receive_response(worker);
+    worker.run_started_tasks(commands);
+    for (const auto& command : commands) {
       if (command.kind == CommandKind::acknowledge)
         std::erase_if(worker.tasks, [&](const auto& task) { return task.task == command.task; });
       if (command.kind != CommandKind::start) continue;
       EXPECT_TRUE(started[command.task].insert(command.attempt).second)
           << wire::to_string(command.task) << " attempt " << command.attempt << " is started twice";
-      worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
     }
   };
   const auto end_tasks = [](Worker& worker, const std::string& job, ExitCause cause) {
--- a/tests/core/task_slots_test.cpp
+++ b/tests/core/task_slots_test.cpp
@@ -20,11 +20,8 @@
     std::size_t stops = 0;
     for (std::size_t starts = 1; starts > 0;) {
       const auto commands = exchange_heartbeat(worker);
-      starts = count(commands, CommandKind::start);
+      starts = worker.run_started_tasks(commands);
       stops += count(commands, CommandKind::stop);
-      for (const auto& command : commands)
-        if (command.kind == CommandKind::start)
-          worker.report_task(command.task.job.value, command.task.index, command.attempt, TaskState::running);
       advance_time(0.5);
     }
     return stops;
@@ -68,10 +65,7 @@
   auto worker = connect_worker("n-1");
   submit(job_spec("job-1", constants::kMaxTasksPerJob, kTinyCpus));
   fill(worker);
-  for (auto& task : worker.tasks) {
-    task.state = TaskState::exited;
-    task.cause = ExitCause::done;
-  }
+  worker.end_tasks(ExitCause::done);
   const auto commands = exchange_heartbeat(worker);
   EXPECT_EQ(count(commands, CommandKind::acknowledge), constants::kMaxCommandsPerResponse);
   EXPECT_TRUE(cluster.job(JobId("job-1"))->assignments.empty());
--- a/tests/core/undispatched_tasks_test.cpp
+++ b/tests/core/undispatched_tasks_test.cpp
@@ -1,6 +1,9 @@
 // Tasks that are assigned to a machine, but whose start command has not been sent.
 #include "core/undispatched_tasks.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 #include "cluster_fixture.hpp"
 #include "constants.hpp"
 
@@ -37,10 +40,7 @@
     exchange_heartbeat(worker);
   }
   void report_failures(Worker& worker) {
-    for (auto& task : worker.tasks) {
-      task.state = TaskState::exited;
-      task.cause = ExitCause::error;
-    }
+    worker.end_tasks(ExitCause::error);
     exchange_heartbeat(worker);
     worker.tasks.clear();
   }
@@ -51,13 +51,12 @@
     Starts starts;
     for (double elapsed_s = 0; elapsed_s < duration_s; elapsed_s += kIntervalSeconds) {
       advance_time(kIntervalSeconds);
-      for (Worker* worker : workers)
-        for (const auto& command : exchange_heartbeat(*worker)) {
-          if (command.kind != CommandKind::start) continue;
-          starts[worker->name].push_back(command);
-          worker->report_task(command.task.job.value, command.task.index, command.attempt,
-                              TaskState::running);
-        }
+      for (Worker* worker : workers) {
+        const auto commands = exchange_heartbeat(*worker);
+        if (worker->run_started_tasks(commands) == 0) continue;
+        std::copy_if(commands.begin(), commands.end(), std::back_inserter(starts[worker->name]),
+                     [](const auto& command) { return command.kind == CommandKind::start; });
+      }
     }
     return starts;
   }
@@ -134,17 +133,12 @@
   auto fast = connect_worker("n-2");
   submit(job_spec("job-1", 5, 2));
   assign_and_write();
-  for (Worker* each : {&worker, &fast})
-    for (const auto& command : receive_response(*each))
-      each->report_task("job-1", command.task.index, command.attempt, TaskState::running);
+  for (Worker* each : {&worker, &fast}) each->run_started_tasks(receive_response(*each));
   Worker& slow = worker.tasks.size() < fast.tasks.size() ? worker : fast;
   Worker& healthy = &slow == &worker ? fast : worker;
   ASSERT_EQ(slow.tasks.size(), 1u);
   exchange_heartbeats({&worker, &fast}, 10);
-  for (auto& task : healthy.tasks) {
-    task.state = TaskState::exited;
-    task.cause = ExitCause::done;
-  }
+  healthy.end_tasks(ExitCause::done);
   exchange_heartbeat(healthy);
   healthy.tasks.clear();
   auto replica = job_spec("job-2", 1, 5);
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -109,6 +109,23 @@
                    wire::ExitCause cause = wire::ExitCause::none) {
     tasks.push_back({{JobId(job), index}, attempt, state, cause, false});
   }
+  // Runs the tasks of the start commands from now on. Returns how many these are.
+  std::size_t run_started_tasks(const std::vector<wire::Command>& commands) {
+    std::size_t starts = 0;
+    for (const auto& command : commands) {
+      if (command.kind != wire::CommandKind::start) continue;
+      report_task(command.task.job.value, command.task.index, command.attempt, wire::TaskState::running);
+      ++starts;
+    }
+    return starts;
+  }
+  // Reports all tasks as exited for this cause from now on.
+  void end_tasks(wire::ExitCause cause) {
+    for (auto& task : tasks) {
+      task.state = wire::TaskState::exited;
+      task.cause = cause;
+    }
+  }
 };
 
 class ClusterTest : public ::testing::Test {
