A test that the leader writes undispatched_tasks; one way to capture the log

Cause: the event had been added without its call, and no test would have shown it. Two lines of a test's set-up had no effect, and a comment had a stray line. Change: UndispatchedTasksLogTest assigns a task that can't be stored and looks for the line.

--- /dev/null
+++ b/tests/app/undispatched_tasks_log_test.cpp
@@ -0,0 +1,24 @@
+// The event that says why the start of an assigned task has not been sent.
+#include <gtest/gtest.h>
+
+#include "log_capture.hpp"
+#include "simulation.hpp"
+
+namespace dockdyke::testing {
+
+// Guards against an event that is documented but not written.
+TEST(UndispatchedTasksLogTest, LeaderLogsTaskWhoseAssignmentIsNotStored) {
+  Simulation simulation({.seed = 1});
+  simulation.submit(long_job_spec("job-1", 1));
+  ASSERT_TRUE(simulation.run_until([&] { return simulation.active_task_count("job-1") == 1; }, 60));
+  const LogCapture captured;
+  simulation.submit(job_spec("job-2", 1, 8));
+  simulation.run(1);  // a machine is requested for its task
+  // The task is assigned to the new machine, but this can't be stored.
+  simulation.start_state_service_outage(2 * simulation.config().worker_lease_s);
+  simulation.run(2 * simulation.config().worker_lease_s);
+  EXPECT_GT(captured.count_lines_with("event=undispatched_tasks"), 0u);
+  EXPECT_GT(captured.count_lines_with("durable=false obstacle=none"), 0u);
+}
+
+}  // namespace dockdyke::testing
--- a/tests/core/undispatched_tasks_test.cpp
+++ b/tests/core/undispatched_tasks_test.cpp
@@ -98,9 +98,6 @@
   EXPECT_EQ(summary.machine, MachineId("n-1"));
   EXPECT_DOUBLE_EQ(summary.waited_s, now - assigned_at);
   EXPECT_EQ(summary.obstacle, StartObstacle::none);
-  worker.termination_notice_s = 60;
-  now = assigned_at + 2 * kIntervalSeconds;
-  cluster.apply(MachinesListed{}, now);
   summary = cluster.undispatched_summary(assigned_at + 100);
   EXPECT_EQ(summary.withheld, 1u);
   EXPECT_EQ(summary.obstacle, StartObstacle::unresponsive);
@@ -217,7 +214,6 @@
 }
 
 // Guards against a gang whose attempt keeps a task on a draining machine.
-// machine.
 TEST_F(UndispatchedTasksTest, GangTaskOnFaultyMachineAbortsAttempt) {
   complete_loading();
   auto worker = connect_worker("n-1");
