The test of undispatched_tasks delays the leader's transactions

Change: the leader's transactions take seconds and another controller stores the job, so that the task is assigned and not stored whenever the line is due. Nothing that the test expects is changed.

--- a/tests/app/undispatched_tasks_log_test.cpp
+++ b/tests/app/undispatched_tasks_log_test.cpp
@@ -12,11 +12,12 @@
   simulation.submit(long_job_spec("job-1", 1));
   ASSERT_TRUE(simulation.run_until([&] { return simulation.active_task_count("job-1") == 1; }, 60));
   const LogCapture captured;
-  simulation.submit(job_spec("job-2", 1, 8));
-  simulation.run(1);  // a machine is requested for its task
-  // The task is assigned to the new machine, but this can't be stored.
-  simulation.start_state_service_outage(2 * simulation.config().worker_lease_s);
-  simulation.run(2 * simulation.config().worker_lease_s);
+  // The leader's transactions take seconds. Another controller stores the job, whose task fits beside the
+  // first.
+  simulation.inject_fault(Simulation::host(*simulation.leader()), "store",
+                          LinkFaultKind::apply_transaction_late, 20);
+  simulation.submit(job_spec("job-2", 1));
+  simulation.run(20);
   EXPECT_GT(captured.count_lines_with("event=undispatched_tasks"), 0u);
   EXPECT_GT(captured.count_lines_with("durable=false obstacle=none"), 0u);
 }
