Remove a finished job when its last undispatched task is taken back

Cause: taking undispatched tasks back from a machine released them without looking whether their job was finished with that, as the other releases do. A gang that is done while the start of one of its tasks was lost on such a machine stayed in the leader's memory, and its records in the state service, until the end of the term. Found by reading; not seen in a run of the service. Change: TaskLifecycle::release_undispatched for a machine uses the release that removes finished jobs. Measured: CompletedGangIsRemovedWhenStartWasLostOnTerminatingMachine failed before and passes.

--- a/src/core/task_lifecycle.cpp
+++ b/src/core/task_lifecycle.cpp
@@ -43,7 +43,7 @@
 void TaskLifecycle::release_undispatched(Machine& machine, Time now) {
   const auto assignments = machine.assignments;
   for (const auto& task : assignments)
-    if (task.assignment().never_dispatched()) release(*task.job, task.index, now);
+    if (task.assignment().never_dispatched()) release_and_remove_if_finished(task, now);
 }
 
 void TaskLifecycle::release_undispatched(Job& job, Time now) {
--- a/src/core/task_lifecycle.hpp
+++ b/src/core/task_lifecycle.hpp
@@ -26,8 +26,9 @@
   void release_and_remove_if_finished(const AssignedTask& task, Time now);
   // Releases all assignments of a machine on which every task is confirmed ended.
   void release_all(Machine& machine, Time now);
-  // Releases the assignments whose start command was never sent.
+  // Releases the assignments whose start command was never sent. Removes jobs that are finished then.
   void release_undispatched(Machine& machine, Time now);
+  // Releases the assignments whose start command was never sent.
   void release_undispatched(Job& job, Time now);
 
   // Stops the tasks of a cancelled job and assigns no further ones.
--- a/tests/core/gang_scheduling_test.cpp
+++ b/tests/core/gang_scheduling_test.cpp
@@ -246,6 +246,22 @@
   EXPECT_EQ(cluster.job_count(), 0u);
 }
 
+// Guards against keeping the job and its record until the end of the leader's term.
+TEST_F(GangTest, CompletedGangIsRemovedWhenStartWasLostOnTerminatingMachine) {
+  add_two_workers();
+  submit(gang_spec("job-1", 2));
+  assign_and_write();
+  ASSERT_EQ(count(receive_response(worker_1), CommandKind::start), 1u);
+  ASSERT_EQ(count(receive_response(worker_2), CommandKind::start), 1u);  // this response is lost
+  set_task_state(worker_1, TaskState::exited, ExitCause::done);
+  exchange_heartbeat(worker_1);
+  worker_1.tasks.clear();
+  ASSERT_EQ(cluster.job_count(), 1u);
+  worker_2.termination_notice_s = 60;
+  exchange_heartbeat(worker_2);
+  EXPECT_EQ(cluster.job_count(), 0u);
+}
+
 // Guards against keeping the job and its record until the end of the leader's term.
 TEST_F(GangTest, CompletedGangIsRemovedAfterUnresponsiveMachinesLeaseExpires) {
   start_gang();
