One place takes tasks back from workers that receive no responses

Cause: since tasks are taken back from machines that get no starts, the reconciler's own release of lost starts after repeated lost responses did the same just before; the planner repeated three of the reasons before it asked accepts_work, which has them; and undispatched tasks were counted twice for two lines of the log. Change: a lost start counts as undispatched again, and UndispatchedTasks decides. The planner asks only what holds for booting machines too, the requested deletion. Both log lines use one summary. No line of the log changes.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -118,15 +118,18 @@
       freshness_.watch_age_s(), freshness_.lease_age_s(), record_watcher_.failed_watches());
 }
 
-void LeaderTerm::log_undispatched_tasks() const {
-  const auto summary = state_machine_.undispatched_summary(context_.now());
-  if (summary.tasks == 0) return;
+void LeaderTerm::log_assignments() const {
+  const auto tasks = state_machine_.assignment_counts();
+  const auto undispatched = state_machine_.undispatched_summary(context_.now());
+  spdlog::info("event=task_assignments never_dispatched={} fetching={} running={}", undispatched.tasks,
+               tasks.fetching, tasks.running);
+  if (undispatched.tasks == 0) return;
   spdlog::info(
       "event=undispatched_tasks token={} tasks={} not_durable={} withheld={} job={} task={} machine={} "
       "waited_s={:.1f} durable={} obstacle={}",
-      token().value, summary.tasks, summary.not_durable, summary.withheld, summary.task.job.value,
-      summary.task.index, summary.machine.value, summary.waited_s, summary.durable,
-      core::to_string(summary.obstacle));
+      token().value, undispatched.tasks, undispatched.not_durable, undispatched.withheld,
+      undispatched.task.job.value, undispatched.task.index, undispatched.machine.value, undispatched.waited_s,
+      undispatched.durable, core::to_string(undispatched.obstacle));
 }
 
 void LeaderTerm::log_statistics() {
@@ -136,10 +139,7 @@
         "cpus={:.0f}",
         offering.type, offering.zone, offering.spot, usage.machines, usage.booting, usage.empty,
         usage.cpus_used, usage.cpus);
-  const auto tasks = state_machine_.assignment_counts();
-  spdlog::info("event=task_assignments never_dispatched={} fetching={} running={}", tasks.never_dispatched,
-               tasks.fetching, tasks.running);
-  log_undispatched_tasks();
+  log_assignments();
   const auto fleet = state_machine_.fleet_summary();
   spdlog::info(
       "event=fleet machines={} booting={} saturated={} scale_in_candidates={} free={} waiting_tasks={} "
--- a/src/app/leader_term.hpp
+++ b/src/app/leader_term.hpp
@@ -71,7 +71,7 @@
   net::Task<void> load_and_watch();
   net::Task<void> refresh_machine_list();
   net::Task<void> run_timers();
-  void log_undispatched_tasks() const;
+  void log_assignments() const;
   void log_statistics();
   void log_state_view() const;
 
--- a/src/core/capacity_planner.cpp
+++ b/src/core/capacity_planner.cpp
@@ -95,8 +95,7 @@
     if (key.free.cpus > 0 && key.free.task_slots > 0) counts[std::move(key)] += machines;
   };
   for (const auto& [id, machine] : state_.machines()) {
-    if (!state_.type_of(machine) || machine.scale_in_requested || machine.draining || machine.terminates_at)
-      continue;
+    if (!state_.type_of(machine) || machine.scale_in_requested) continue;
     FreeCapacity free = constraints_.free_capacity(machine);
     if (machine.state == MachineState::up) {
       if (!constraints_.accepts_work(machine, now)) continue;
--- a/src/core/reconciler.cpp
+++ b/src/core/reconciler.cpp
@@ -85,13 +85,12 @@
     handle_exit(*task.job, task.index, machine, *reported, now);
     lifecycle_.remove_if_finished(*task.job, now);
   }
-  const auto lost_starts = release_unreported_tasks(machine, heartbeat, now);
+  const bool start_lost = release_unreported_tasks(machine, heartbeat, now);
   if (observation.response_delivered) {
     machine.undelivered_responses = 0;
-  } else if (observation.response_lost || !lost_starts.empty()) {
+  } else if (observation.response_lost || start_lost) {
     count_undelivered_response(machine, now);
   }
-  retry_lost_starts(machine, lost_starts, now);
 }
 
 namespace {
@@ -166,12 +165,11 @@
                            type ? std::optional(type->image_cache_gb) : std::nullopt);
 }
 
-std::vector<AssignedTask> Reconciler::release_unreported_tasks(Machine& machine,
-                                                               const wire::Heartbeat& heartbeat, Time now) {
-  std::vector<AssignedTask> lost_starts;
+bool Reconciler::release_unreported_tasks(Machine& machine, const wire::Heartbeat& heartbeat, Time now) {
+  bool start_lost = false;
   const auto assignments = machine.assignments;
   for (const auto& task : assignments) {
-    const TaskAssignment& assignment = task.assignment();
+    TaskAssignment& assignment = task.assignment();
     if (assignment.observed && assignment.observed_in_heartbeat == machine.heartbeat_count) continue;
     if (assignment.never_dispatched()) {
       // The start command has not been sent. For a stopping task it never will be, so no heartbeat would ever
@@ -186,22 +184,13 @@
       // whose response carried the start command.
       lifecycle_.release_and_remove_if_finished(task, now);
     } else {
-      lost_starts.push_back(task);
-    }
-  }
-  return lost_starts;
-}
-
-void Reconciler::retry_lost_starts(Machine& machine, const std::vector<AssignedTask>& lost_starts, Time now) {
-  for (const auto& task : lost_starts) {
-    if (machine.undelivered_responses < constants::kUndeliveredResponsesThreshold) {
-      task.assignment().dispatched = false;  // the same attempt is sent again
-    } else {
-      // Heartbeats arrive, but no response reaches the worker. This heartbeat is newer than the one whose
-      // response carried the start command, so the task is not on the worker and may run on another machine.
-      lifecycle_.release_and_remove_if_finished(task, now);
+      // This heartbeat is newer than the one whose response carried the start command, so the task is not on
+      // the worker. The same attempt is sent again, unless responses repeatedly fail to reach the worker.
+      assignment.dispatched = false;
+      start_lost = true;
     }
   }
+  return start_lost;
 }
 
 // ---- Exits ------------------------------------------------------------------------------------------------
--- a/src/core/reconciler.hpp
+++ b/src/core/reconciler.hpp
@@ -50,13 +50,10 @@
   Observation observe_tasks(Machine& machine, const wire::Heartbeat& heartbeat, Time now);
   void observe_assignment(Machine& machine, Job& job, TaskAssignment& assignment,
                           const wire::ReportedTask& reported, Time now);
-  // Releases the assignments of tasks that the heartbeat lacks and thereby confirms as ended. Returns the
-  // tasks whose start command was probably lost.
-  std::vector<AssignedTask> release_unreported_tasks(Machine& machine, const wire::Heartbeat& heartbeat,
-                                                     Time now);
+  // Releases the assignments of tasks that the heartbeat lacks and thereby confirms as ended. A task whose
+  // start command was lost counts as undispatched again. Returns whether there was one.
+  bool release_unreported_tasks(Machine& machine, const wire::Heartbeat& heartbeat, Time now);
   void count_undelivered_response(Machine& machine, Time now);
-  // Resends lost start commands, or releases the tasks if responses repeatedly fail to reach the worker.
-  void retry_lost_starts(Machine& machine, const std::vector<AssignedTask>& lost_starts, Time now);
 
   void handle_exit(Job& job, TaskIndex index, Machine& machine, const wire::ReportedTask& reported, Time now);
   void complete_task(Job& job, TaskIndex index, Machine& machine, Time now);
--- a/src/core/state_queries.cpp
+++ b/src/core/state_queries.cpp
@@ -37,7 +37,6 @@
   AssignmentCounts counts;
   for (const auto& [id, job] : state.jobs())
     for (const auto& [index, assignment] : job.assignments) {
-      counts.never_dispatched += assignment.never_dispatched() ? 1 : 0;
       if (!assignment.observed) continue;
       counts.fetching += assignment.state == wire::TaskState::fetching_image ? 1 : 0;
       counts.running += assignment.state == wire::TaskState::running ? 1 : 0;
--- a/src/core/views.hpp
+++ b/src/core/views.hpp
@@ -38,9 +38,8 @@
   std::size_t waiting_tasks = 0;
 };
 
-// Numbers of task assignments by state.
+// Numbers of observed task assignments by state.
 struct AssignmentCounts {
-  std::size_t never_dispatched = 0;
   std::size_t fetching = 0;
   std::size_t running = 0;
 };
