--- a/tests/core/safety_test.cpp
+++ b/tests/core/safety_test.cpp
@@ -537,21 +537,17 @@
           << wire::to_string(command.task) << " attempt " << command.attempt << " is started twice";
     }
   };
-  const auto end_tasks = [](Worker& worker, const std::string& job, ExitCause cause) {
-    for (auto& task : worker.tasks)
-      if (task.task.job == JobId(job)) task = {task.task, task.attempt, TaskState::exited, cause, false};
-  };
   Worker first{"n-1"};
   for (int i = 0; i < 2; ++i) exchange_with_copies(first);
   for (const char* id : {"job-1", "job-2", "job-3"}) submit(job_spec(id, 1, 2));
   for (int i = 0; i < 3; ++i) exchange_with_copies(first);
   ASSERT_EQ(first.tasks.size(), 3u);
-  end_tasks(first, "job-1", ExitCause::done);
+  first.end_tasks(ExitCause::done, JobId("job-1"));
   cluster.apply(JobRecordDeleted{JobId("job-2")}, now);
   first.termination_notice_s = 60;
   exchange_with_copies(first);
-  end_tasks(first, "job-2", ExitCause::stopped);
-  end_tasks(first, "job-3", ExitCause::stopped);  // it is moved
+  first.end_tasks(ExitCause::stopped, JobId("job-2"));
+  first.end_tasks(ExitCause::stopped, JobId("job-3"));  // it is moved
   for (int i = 0; i < 3; ++i) exchange_with_copies(first);
   EXPECT_TRUE(first.tasks.empty());
   Worker second{"n-2"};
--- a/tests/core/undispatched_tasks_test.cpp
+++ b/tests/core/undispatched_tasks_test.cpp
@@ -11,7 +11,6 @@
 
 using wire::CommandKind;
 using wire::ExitCause;
-using wire::TaskState;
 
 class UndispatchedTasksTest : public ClusterTest {
  protected:
@@ -34,9 +33,7 @@
   void fail_two_jobs(Worker& worker) {
     submit(job_spec("job-1", 1, 1));
     submit(job_spec("job-2", 1, 1));
-    ASSERT_EQ(count(exchange_heartbeat(worker), CommandKind::start), 2u);
-    worker.report_task("job-1", 0, 1, TaskState::running);
-    worker.report_task("job-2", 0, 1, TaskState::running);
+    ASSERT_EQ(worker.run_started_tasks(exchange_heartbeat(worker)), 2u);
     exchange_heartbeat(worker);
   }
   void report_failures(Worker& worker) {
@@ -176,8 +173,7 @@
   complete_loading();
   auto worker = connect_worker("n-1");
   submit(job_spec("job-1", 1));
-  ASSERT_EQ(count(exchange_heartbeat(worker), CommandKind::start), 1u);
-  worker.report_task("job-1", 0, 1, TaskState::running);
+  ASSERT_EQ(worker.run_started_tasks(exchange_heartbeat(worker)), 1u);
   exchange_heartbeat(worker);
   assign_during_outage(worker, job_spec("job-2", 1));
   cluster.apply(JobRecordDeleted{JobId("job-1")}, now);
--- a/tests/scenarios/fault_combination_test.cpp
+++ b/tests/scenarios/fault_combination_test.cpp
@@ -6,15 +6,6 @@
 
 namespace dockdyke::testing {
 
-namespace {
-
-// Returns true if a machine holds each task of the job.
-bool all_tasks_on_machines(Simulation& simulation, const std::string& id) {
-  return simulation.active_task_count(id) == simulation.job(id).spec.task_count;
-}
-
-}  // namespace
-
 TEST(SimulationTest, AllJobsFinishWithoutFaults) {
   Simulation simulation({.seed = 1});
   for (int i = 0; i < 6; ++i) simulation.submit(job_spec("job-" + std::to_string(i), 3));
@@ -48,10 +39,7 @@
     simulation.dropped_target = peer::kCancelledPath;  // drop all notifications of cancellations
     for (int i = 0; i < 4; ++i) simulation.submit(long_job_spec("job-" + std::to_string(i), 2));
     ASSERT_TRUE(simulation.run_until(
-        [&] {
-          return all_tasks_on_machines(simulation, "job-0") && all_tasks_on_machines(simulation, "job-3");
-        },
-        60));
+        [&] { return simulation.all_tasks_active("job-0") && simulation.all_tasks_active("job-3"); }, 60));
     const int leader = *simulation.leader();
     const int follower = (leader + 1) % 3;
     simulation.inject_fault(Simulation::host(leader), "store", LinkFaultKind::refuse, 8);
@@ -65,7 +53,7 @@
     EXPECT_TRUE(simulation.job("job-0").cancellation_confirmed_at)
         << "the scenario requires a confirmed cancellation";
     EXPECT_EQ(simulation.active_task_count("job-0"), 0u);
-    EXPECT_TRUE(simulation.run_until([&] { return all_tasks_on_machines(simulation, "job-3"); }, 60))
+    EXPECT_TRUE(simulation.run_until([&] { return simulation.all_tasks_active("job-3"); }, 60))
         << "job-3 was not cancelled and must keep running";
   }
 }
@@ -82,7 +70,7 @@
 TEST(LeaderRefusedByStateService, IsNotifiedOfCancellationsByOtherControllers) {
   Simulation simulation({.seed = 1});
   simulation.submit(long_job_spec("job-1", 3));
-  ASSERT_TRUE(simulation.run_until([&] { return all_tasks_on_machines(simulation, "job-1"); }, 60));
+  ASSERT_TRUE(simulation.run_until([&] { return simulation.all_tasks_active("job-1"); }, 60));
   const int leader = *simulation.leader();
   simulation.inject_fault(Simulation::host(leader), "store", LinkFaultKind::refuse, 30);
   simulation.run(0.5);
@@ -130,8 +118,8 @@
   submit_mixed_workload(simulation);
   const bool long_jobs_running = simulation.run_until(
       [&] {
-        return all_tasks_on_machines(simulation, "job-40") && all_tasks_on_machines(simulation, "job-41") &&
-               all_tasks_on_machines(simulation, "job-42");
+        return simulation.all_tasks_active("job-40") && simulation.all_tasks_active("job-41") &&
+               simulation.all_tasks_active("job-42");
       },
       90);
   ASSERT_TRUE(long_jobs_running);
@@ -263,10 +251,7 @@
          simulation.submit(std::move(spec));
        }
        simulation.run_until(
-           [&] {
-             return all_tasks_on_machines(simulation, "job-70") &&
-                    all_tasks_on_machines(simulation, "job-71");
-           },
+           [&] { return simulation.all_tasks_active("job-70") && simulation.all_tasks_active("job-71"); },
            120);
        for (auto* worker : simulation.workers_with_active_tasks("job-70"))
          simulation.inject_fault(worker->id, "dyke", LinkFaultKind::drop_request, 25);
--- a/tests/scenarios/late_copy_test.cpp
+++ b/tests/scenarios/late_copy_test.cpp
@@ -38,10 +38,6 @@
   simulation.run(longer_than_lease_s + 1);
 }
 
-bool all_tasks_active(Simulation& simulation, const std::string& id) {
-  return simulation.active_task_count(id) == simulation.job(id).spec.task_count;
-}
-
 wire::JobSpec checkpointing_gang_spec(const std::string& id) {
   auto spec = long_job_spec(id, 4);
   spec.kind = wire::JobKind::gang;
@@ -72,18 +68,18 @@
     for (const char* id : {kMoved, kCancelled, kRunning}) simulation.submit(long_job_spec(id, 2));
     simulation.submit(checkpointing_gang_spec(kMovedGang));
     for (const char* id : {kMoved, kCancelled, kRunning, kMovedGang})
-      ASSERT_TRUE(simulation.run_until([&] { return all_tasks_active(simulation, id); }, 120)) << id;
+      ASSERT_TRUE(simulation.run_until([&] { return simulation.all_tasks_active(id); }, 120)) << id;
     simulation.run(10);
     for (const char* id : {kMoved, kMovedGang})
       simulation.send_termination_notice(*simulation.workers_with_active_tasks(id).at(0), 10);
-    ASSERT_TRUE(simulation.run_until([&] { return !all_tasks_active(simulation, kMovedGang); }, 20));
+    ASSERT_TRUE(simulation.run_until([&] { return !simulation.all_tasks_active(kMovedGang); }, 20));
     simulation.cancel(kCancelled);
     ASSERT_TRUE(simulation.run_until(
         [&] {
           return simulation.job(kCompleted).completion_confirmed_at &&
                  simulation.job(kCancelled).cancellation_confirmed_at &&
-                 simulation.active_task_count(kCancelled) == 0 && all_tasks_active(simulation, kMoved) &&
-                 all_tasks_active(simulation, kMovedGang);
+                 simulation.active_task_count(kCancelled) == 0 && simulation.all_tasks_active(kMoved) &&
+                 simulation.all_tasks_active(kMovedGang);
         },
         200))
         << simulation.describe_unfinished_jobs();
@@ -106,7 +102,7 @@
     run_jobs(simulation);
     if (HasFatalFailure()) return;
     change_leader(simulation, GetParam());
-    ASSERT_TRUE(simulation.run_until([&] { return all_tasks_active(simulation, kRunning); }, 30));
+    ASSERT_TRUE(simulation.run_until([&] { return simulation.all_tasks_active(kRunning); }, 30));
     EXPECT_GT(count_recorded(simulation, [](const auto& each) { return each.target == "/work"; }), 0u);
     EXPECT_GT(count_recorded(simulation, [](const auto& each) { return each.target == peer::kForwardPath; }),
               0u);
@@ -120,7 +116,7 @@
     if (HasFailure()) return;
     EXPECT_EQ(starts_by_job(simulation), starts);
     for (const char* id : {kMoved, kRunning, kMovedGang})
-      EXPECT_TRUE(all_tasks_active(simulation, id)) << id << " must keep running";
+      EXPECT_TRUE(simulation.all_tasks_active(id)) << id << " must keep running";
     // A leader that reads copies of old records must not believe them either.
     change_leader(simulation, LeaderChange::restarted_at_once);
     simulation.run(3 * simulation.config().worker_lease_s);
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -119,9 +119,10 @@
     }
     return starts;
   }
-  // Reports all tasks as exited for this cause from now on.
-  void end_tasks(wire::ExitCause cause) {
+  // Reports all tasks, or those of the job, as exited for this cause from now on.
+  void end_tasks(wire::ExitCause cause, const std::optional<JobId>& job = {}) {
     for (auto& task : tasks) {
+      if (job && task.task.job != *job) continue;
       task.state = wire::TaskState::exited;
       task.cause = cause;
     }
--- a/tests/support/simulation.hpp
+++ b/tests/support/simulation.hpp
@@ -67,6 +67,10 @@
   void crash_worker(SimWorker& worker);
   // Returns the number of started, unfinished tasks of the job on all workers.
   std::size_t active_task_count(const std::string& id);
+  // Returns whether each task of the job is started and unfinished.
+  bool all_tasks_active(const std::string& id) {
+    return active_task_count(id) == jobs_.at(id).spec.task_count;
+  }
   const core::ClusterConfig& config() const { return options_.config; }
   // Returns when the job's tasks must have ended, or std::nullopt if no user has received a confirmation of
   // its cancellation.
