Log jobs whose assignments do not satisfy their zone constraint

The log could not tell whether the new leader took the job for one of the wrong zone, did not know its running task, or knew tasks in two zones and started more in either: it names no zones. Change: event zone_conflicts, written by the leader when such jobs appear, change and disappear. Behaviour is the same.

--- a/src/app/leader_term.cpp
+++ b/src/app/leader_term.cpp
@@ -24,7 +24,8 @@
       effect_executor_(context_, fenced_writer_, key_deleter_),
       record_loader_(context_),
       record_watcher_(context_, state_machine_, freshness_),
-      cancellation_log_(leadership.token) {}
+      cancellation_log_(leadership.token),
+      zone_conflict_log_(leadership.token) {}
 
 void LeaderTerm::start(const std::vector<wire::MachineType>& machine_types) {
   context_.set_owner(weak_from_this());
@@ -103,6 +104,7 @@
   while (context_.alive()) {
     push(core::Tick{});
     co_await context_.loop().sleep(net::seconds(constants::kHousekeepingIntervalSeconds));
+    log_zone_conflicts();
     since_statistics_s += constants::kHousekeepingIntervalSeconds;
     if (since_statistics_s < constants::kAutoscalerIntervalSeconds) continue;
     since_statistics_s = 0;
@@ -132,6 +134,10 @@
       undispatched.durable, core::to_string(undispatched.obstacle));
 }
 
+void LeaderTerm::log_zone_conflicts() {
+  if (ZoneConflictLog::enabled()) zone_conflict_log_.write(state_machine_.zone_conflict_summary());
+}
+
 void LeaderTerm::log_statistics() {
   for (const auto& [offering, usage] : state_machine_.usage_by_offering())
     spdlog::debug(
--- a/src/app/leader_term.hpp
+++ b/src/app/leader_term.hpp
@@ -18,6 +18,7 @@
 #include "app/state_writer.hpp"
 #include "app/term_context.hpp"
 #include "app/view_freshness.hpp"
+#include "app/zone_conflict_log.hpp"
 #include "core/leader_state_machine.hpp"
 #include "net/http_server.hpp"
 #include "net/loop.hpp"
@@ -72,6 +73,7 @@
   net::Task<void> refresh_machine_list();
   net::Task<void> run_timers();
   void log_assignments() const;
+  void log_zone_conflicts();
   void log_statistics();
   void log_state_view() const;
 
@@ -88,6 +90,7 @@
   RecordLoader record_loader_;
   RecordWatcher record_watcher_;
   CancellationLog cancellation_log_;
+  ZoneConflictLog zone_conflict_log_;
 };
 
 }  // namespace dockdyke::app
--- a/src/core/leader_state_machine.hpp
+++ b/src/core/leader_state_machine.hpp
@@ -99,6 +99,7 @@
   wire::Resources team_usage(const std::string& team) const { return state_.team_usage(team); }
   const FleetSummary& fleet_summary() const { return autoscaler_.summary(); }
   AssignmentCounts assignment_counts() const { return core::assignment_counts(state_); }
+  ZoneConflictSummary zone_conflict_summary() const { return core::zone_conflict_summary(state_); }
   UndispatchedSummary undispatched_summary(Time now) const { return undispatched_tasks_.summary(now); }
   CancellationSummary cancellation_summary(Time now) const { return cancellations_.summary(now); }
   std::map<InstanceOffering, OfferingUsage> usage_by_offering() const {
--- a/src/core/state_queries.hpp
+++ b/src/core/state_queries.hpp
@@ -20,6 +20,7 @@
 // Returns the jobs that should have an active record in the state service.
 std::vector<JobId> active_jobs(const ClusterState& state);
 AssignmentCounts assignment_counts(const ClusterState& state);
+ZoneConflictSummary zone_conflict_summary(const ClusterState& state);
 std::map<InstanceOffering, OfferingUsage> usage_by_offering(const ClusterState& state);
 
 }  // namespace dockdyke::core
--- a/src/core/views.hpp
+++ b/src/core/views.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <cstddef>
+#include <map>
+#include <string>
 
 #include "core/scheduling_constraints.hpp"
 #include "wire/messages.hpp"
@@ -57,6 +59,19 @@
   StartObstacle obstacle = StartObstacle::none;
 };
 
+// Jobs with `same_zone` or `spread` whose known assignments do not satisfy that constraint. Either some of
+// them are of tasks that have ended, or the zone of a machine is not known yet.
+struct ZoneConflictSummary {
+  std::size_t jobs = 0;
+  // Of the first such job, by id:
+  JobId job;
+  std::map<std::string, std::size_t> assignments_by_zone;  // "" while a machine's zone is not known
+  std::size_t adopted = 0;  // assigned by a previous leader and not yet observed
+  std::size_t waiting = 0;  // tasks that wait for an assignment
+
+  bool operator==(const ZoneConflictSummary&) const = default;
+};
+
 // A step in the cancellation of a job that had tasks on machines.
 struct CancellationReport {
   enum class Kind {
