Start no task of a same_zone job while its known tasks are in several zones

Cause: a new leader adopts every task that may run. Ends whose records were not stored are adopted too, so a job that was moved can be in two zones by the records. zone_capacity closed a zone only if the job had no task there or one in an unknown zone; with tasks in two known zones it closed neither, and waiting tasks started in both. Evidence: zone_conflicts read zones=milano:1,trento:3 adopted=4 waiting=4 before the starts, which carried the new leader's token. Change: a zone is open to such a job only if all its known tasks are there. A task that runs is always among the known ones, since its record is stored before its start is sent; so no start meets a task in another zone. Arrays, services, preemption and planning ask the same function.

--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -83,8 +83,10 @@
     const std::size_t in_zone = job.assignments_in_zone(zone);
     const std::size_t counted = in_zone + in_unknown_zone;
     if (job.spec.spread) capacity = max_per_zone > counted ? max_per_zone - counted : 0;
-    const bool bound_to_other_zone = !job.assignments.empty() && (in_unknown_zone > 0 || in_zone == 0);
-    if (job.spec.same_zone && bound_to_other_zone) capacity = 0;
+    // After a failover, assignments may be in several zones, since those of tasks that have ended are adopted
+    // too. Then no zone is open until only one is left.
+    const bool any_in_other_zone = in_zone < job.assignments.size();
+    if (job.spec.same_zone && any_in_other_zone) capacity = 0;
     zones.emplace(zone, capacity);
   }
   return zones;
--- a/tests/support/simulated_links.cpp
+++ b/tests/support/simulated_links.cpp
@@ -61,7 +61,12 @@
                                                                     std::string method, std::string target,
                                                                     std::string body, net::Duration timeout) {
   if (from.starts_with("dyke-")) trace_.request(elapsed_s(), from, to, method, target, body);
-  const Delivery delivery = plan_delivery(from, to, target);
+  Delivery delivery = plan_delivery(from, to, target);
+  if (applies_late && target == "/txn" && applies_late(*wire::decode(body))) {
+    constexpr double kLongestTransactionDelaySeconds = 12;
+    delivery.request_delay_s = kLongestTransactionDelaySeconds;
+    delivery.drop_response = true;
+  }
   const auto deadline = loop.now() + timeout;
   const net::OneShot<net::HttpMessage> response(loop);
   if (delivery.duplicate_delay_s) {
--- a/tests/support/simulation.hpp
+++ b/tests/support/simulation.hpp
@@ -7,6 +7,7 @@
 #include <spdlog/spdlog.h>
 
 #include <cstdlib>
+#include <functional>
 #include <memory>
 #include <random>
 
@@ -103,6 +104,8 @@
   // Requests for this target are dropped.
   std::string dropped_target;
   std::optional<SlowTarget> slow_target;
+  // Each transaction for which this returns true is applied 12 s late, and its response is dropped.
+  std::function<bool(const Json& transaction)> applies_late;
   // Makes the cloud respond 503 to every request.
   bool cloud_unavailable = false;
   // Number of machines that the cloud has in each zone, of spot and on-demand machines each.
