Move zone constraints and available capacity to modules of their own

Change: zone_constraints has all functions on `same_zone` and `spread`; AvailableCapacity groups free, booting and requested machines, which the planner did; Job::allow_failed_machines_if_at_fault. The checker of the tests keeps its own rule, once. Behaviour is the same.

--- a/src/core/capacity_planner.cpp
+++ b/src/core/capacity_planner.cpp
@@ -1,12 +1,9 @@
 #include "core/capacity_planner.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 #include "constants.hpp"
-#include "core/completion_forecast.hpp"
-#include "core/objectives.hpp"
 #include "core/task_fit.hpp"
 
 namespace dockdyke::core {
@@ -21,102 +18,8 @@
       scale_out_(scale_out),
       selector_(selector),
       scarce_types_(scarce_types),
-      gang_reservations_(gang_reservations) {}
-
-// ---- Available capacity -----------------------------------------------------------------------------------
-
-std::vector<bool> CapacityPlanner::types_at_slo_risk(Time now) {
-  std::vector<bool> at_slo_risk(state_.types().size());
-  for (const auto& queued : queue_.ordered(now)) {
-    const Job& job = *queued.job;
-    if (job.waiting_tasks() == 0 || now < job.backoff_ends_at) continue;
-    const auto start_s = start_target_s(state_.config(), job.spec.job_class);
-    if (!start_s) continue;
-    const double max_wait_s =
-        std::max(constants::kScaleOutDelaySeconds, constants::kStartAtRiskFraction * *start_s);
-    if (now - job.queued_at <= max_wait_s) continue;
-    for (std::size_t type = 0; type < at_slo_risk.size(); ++type)
-      at_slo_risk[type] = at_slo_risk[type] || job.compatible_with(type);
-  }
-  return at_slo_risk;
-}
-
-void CapacityPlanner::add_soon_free_capacity(const Machine& machine, bool at_slo_risk, Time now,
-                                             FreeCapacity& free) const {
-  for (const auto& task : machine.assignments) {
-    const bool ends_soon = at_slo_risk
-                               ? nearly_done(*task.job, task.assignment(), now)
-                               : ends_before_new_machine_boots(state_, *task.job, task.assignment(), now);
-    if (ends_soon) free.release(task.job->spec.task_resources);
-  }
-}
-
-namespace {
-
-// Free capacity as whole multiples of `kCapacityStep` and `kTaskSlotStep`, rounded down.
-struct CapacitySteps {
-  long cpus = 0;
-  long gpus = 0;
-  long memory = 0;
-  std::ptrdiff_t task_slots = 0;
-  auto operator<=>(const CapacitySteps&) const = default;
-};
-
-CapacitySteps to_steps(const FreeCapacity& free) {
-  const auto steps = [](double amount) {
-    return static_cast<long>(std::floor(amount / constants::kCapacityStep + 1e-6));
-  };
-  return {steps(free.resources.cpus), steps(free.resources.gpus), steps(free.resources.memory_gb),
-          free.task_slots / constants::kTaskSlotStep};
-}
-
-FreeCapacity to_capacity(const CapacitySteps& steps, const wire::MachineType& type) {
-  const wire::Resources resources{static_cast<double>(steps.cpus), static_cast<double>(steps.gpus),
-                                  static_cast<double>(steps.memory)};
-  return {resources * constants::kCapacityStep, steps.task_slots * constants::kTaskSlotStep, type.size};
-}
-
-struct GroupKey {
-  std::size_t type = 0;
-  std::string zone;
-  bool spot = false;
-  CapacitySteps free;
-  auto operator<=>(const GroupKey&) const = default;
-};
-
-}  // namespace
-
-std::vector<CapacityPlanner::MachineGroup> CapacityPlanner::group_machines(bool include_soon_free, Time now) {
-  const auto at_slo_risk = types_at_slo_risk(now);
-  std::map<GroupKey, std::size_t> counts;
-  const auto add = [&](std::size_t type, const std::string& zone, bool spot, const FreeCapacity& free,
-                       std::size_t machines) {
-    GroupKey key{type, zone, spot, to_steps(free)};
-    if (key.free.cpus > 0 && key.free.task_slots > 0) counts[std::move(key)] += machines;
-  };
-  for (const auto& [id, machine] : state_.machines()) {
-    if (!state_.type_of(machine) || machine.scale_in_requested) continue;
-    FreeCapacity free = constraints_.free_capacity(machine);
-    if (machine.state == MachineState::up) {
-      if (!constraints_.accepts_work(machine, now)) continue;
-      if (include_soon_free) add_soon_free_capacity(machine, at_slo_risk[machine.type_number], now, free);
-    } else if (machine.state != MachineState::booting || constraints_.boot_overdue(machine, now)) {
-      continue;
-    }
-    add(machine.type_number, machine.zone, machine.spot, free, 1);
-  }
-  for (const auto& [id, pending] : scale_out_.pending()) {
-    const auto& request = pending.request;
-    if (const auto type = state_.type_number(request.type); type != kNoType)
-      add(type, request.zone, request.spot, empty_machine_capacity(state_.types()[type]), request.count);
-  }
-  std::vector<MachineGroup> groups;
-  groups.reserve(counts.size());
-  for (const auto& [key, machines] : counts)
-    groups.push_back(
-        {key.type, key.zone, key.spot, to_capacity(key.free, state_.types()[key.type]), machines});
-  return groups;
-}
+      gang_reservations_(gang_reservations),
+      available_capacity_(state, constraints, queue, scale_out) {}
 
 CapacityPlanner::Plan CapacityPlanner::begin_plan(std::vector<MachineGroup> groups,
                                                   std::size_t max_machines) const {
@@ -131,16 +34,6 @@
 
 // ---- Planning of one job ----------------------------------------------------------------------------------
 
-namespace {
-
-// Sets the capacity of all other zones to 0.
-void restrict_to_zone(ZoneCapacity& zones, const std::string& zone) {
-  for (auto& [name, capacity] : *zones)
-    if (name != zone) capacity = 0;
-}
-
-}  // namespace
-
 bool CapacityPlanner::may_use(const JobDemand& demand, const MachineGroup& group) const {
   return !demand.avoided_types.contains(group.type) &&
          constraints_.allowed_on(demand.job, group.type, group.zone, group.spot) &&
@@ -253,7 +146,7 @@
   const auto& expected = gang_reservations_.expected_gangs();
   if (expected.empty()) return {};
   // Capacity that will soon be free is not counted, as other jobs are likely to need it by then.
-  Plan plan = begin_plan(group_machines(false, now), 0);
+  Plan plan = begin_plan(available_capacity_.groups(false, now), 0);
   // Places the waiting gangs first, without requesting machines for them.
   for (const auto& queued : queue_.ordered(now)) {
     const Job& job = *queued.job;
@@ -276,7 +169,7 @@
 
 CapacityPlanner::MachinesToRequest CapacityPlanner::machines_for_waiting_jobs(std::size_t max_machines,
                                                                               Time now) {
-  Plan plan = begin_plan(group_machines(true, now), max_machines);
+  Plan plan = begin_plan(available_capacity_.groups(true, now), max_machines);
   waiting_tasks_ = 0;
   for (const auto& queued : queue_.ordered(now)) {
     const Job& job = *queued.job;
--- a/src/core/capacity_planner.hpp
+++ b/src/core/capacity_planner.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/available_capacity.hpp"
 #include "core/cluster_state.hpp"
 #include "core/gang_reservations.hpp"
 #include "core/job_queue.hpp"
@@ -38,15 +39,6 @@
   std::size_t waiting_tasks() const { return waiting_tasks_; }
 
  private:
-  // Machines of the same offering with the same free capacity (rounded down). Planning with groups takes far
-  // fewer steps than planning with single machines.
-  struct MachineGroup {
-    std::size_t type = 0;  // type number
-    std::string zone;
-    bool spot = false;
-    FreeCapacity free;  // on each machine
-    std::size_t machines = 0;
-  };
   // A plan under construction, to which the jobs are added in queue order.
   struct Plan {
     std::vector<MachineGroup> groups;  // capacity that no job of the plan uses yet
@@ -62,15 +54,6 @@
     std::set<std::size_t> avoided_types;  // type numbers
   };
 
-  // ---- Available capacity ----
-  // Returns, by type number, whether a compatible job has waited so long that its start objective is at risk.
-  std::vector<bool> types_at_slo_risk(Time now);
-  // Adds the capacity of the machine's tasks that are expected to end soon. With `at_slo_risk` only tasks
-  // that are nearly done count.
-  void add_soon_free_capacity(const Machine& machine, bool at_slo_risk, Time now, FreeCapacity& free) const;
-  // Groups the machines that are up, booting or requested by their free capacity. With `include_soon_free`,
-  // capacity of tasks that are expected to end soon counts as free.
-  std::vector<MachineGroup> group_machines(bool include_soon_free, Time now);
   Plan begin_plan(std::vector<MachineGroup> groups, std::size_t max_machines) const;
 
   // ---- Planning of one job ----
@@ -98,6 +81,7 @@
   const OfferingSelector& selector_;
   const ScarceTypes& scarce_types_;
   const GangReservations& gang_reservations_;
+  AvailableCapacity available_capacity_;
   std::size_t waiting_tasks_ = 0;
 };
 
--- a/src/core/gang_reservations.cpp
+++ b/src/core/gang_reservations.cpp
@@ -81,12 +81,11 @@
 
 bool GangReservations::try_reserve(const Job& job, Time now) {
   const auto& spec = job.spec;
-  std::map<std::string, std::vector<MachineCapacity>> groups;  // by zone for a same-zone gang, else one group
+  std::map<std::string, std::vector<MachineCapacity>> groups;  // by `gang_zone_group`
   for (Machine* machine : machines_accepting_work(state_, constraints_, now)) {
     if (!constraints_.allowed_on(job, *machine) || job.failed_machines.contains(machine->id)) continue;
     const auto task_capacity = capacity_within_reservation(*machine, now).tasks_fitting(spec.task_resources);
-    if (task_capacity > 0)
-      groups[spec.same_zone ? machine->zone : std::string()].push_back({machine, task_capacity});
+    if (task_capacity > 0) groups[gang_zone_group(spec, machine->zone)].push_back({machine, task_capacity});
   }
   for (auto& [zone, machines] : groups) {
     std::stable_sort(machines.begin(), machines.end(),
--- a/src/core/gang_scheduler.cpp
+++ b/src/core/gang_scheduler.cpp
@@ -27,7 +27,7 @@
   const std::size_t tasks = spec.task_count;
   if (constraints_.quota_headroom(job) < tasks) return {};
   const double largest_cpus = state_.largest_cpus();
-  std::map<std::string, std::vector<GangCandidate>> groups;  // by zone for a same-zone gang, else one group
+  std::map<std::string, std::vector<GangCandidate>> groups;  // by `gang_zone_group`
   state_.count_scanned(machines.size());
   for (Machine* machine : machines) {
     if (machine->reserved_for_other(job, now)) continue;
@@ -38,13 +38,13 @@
     if (!machine->has_image(spec.image)) candidate.start_delay_s = cost_.image_fetch_s(job, *machine);
     // All tasks run at the pace of the slowest one.
     candidate.start_delay_s += constants::kStragglerSignCostSeconds * machine->straggler_signs;
-    groups[spec.same_zone ? machine->zone : std::string()].push_back(candidate);
+    groups[gang_zone_group(spec, machine->zone)].push_back(candidate);
   }
-  const std::size_t max_tasks_per_zone =
-      spec.spread ? (tasks + 1) / 2 : std::numeric_limits<std::size_t>::max();
+  const std::size_t zone_limit =
+      spec.spread ? max_tasks_per_zone(spec) : std::numeric_limits<std::size_t>::max();
   GangPlacement best;
   for (auto& [zone, candidates] : groups) {
-    auto placement = choose_machines(std::move(candidates), tasks, max_tasks_per_zone);
+    auto placement = choose_machines(std::move(candidates), tasks, zone_limit);
     if (placement.machine_tasks.empty()) continue;
     if (best.machine_tasks.empty() || placement.rank < best.rank) best = std::move(placement);
   }
@@ -52,8 +52,7 @@
 }
 
 bool GangScheduler::assign(Job& job, const std::vector<Machine*>& machines, Time now) {
-  // After failures on this many machines the job is considered at fault, so all machines are allowed again.
-  if (job.failed_machines.size() >= constants::kSuspectJobMachineThreshold) job.failed_machines.clear();
+  job.allow_failed_machines_if_at_fault();
   const auto placement = choose_placement(job, machines, now);
   if (placement.empty()) return false;
   begin_attempt(job, placement, now);
--- a/src/core/job.cpp
+++ b/src/core/job.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "constants.hpp"
+
 namespace dockdyke::core {
 
 void TaskAssignment::request_stop(double grace_period_s) {
@@ -9,6 +11,10 @@
   stopping = true;
 }
 
+void Job::allow_failed_machines_if_at_fault() {
+  if (failed_machines.size() >= constants::kSuspectJobMachineThreshold) failed_machines.clear();
+}
+
 bool Job::assignment_durable(TaskIndex index) const {
   if (is_gang()) return gang.durable() && !gang.aborted && !complete();
   return tasks[index].durable();
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -119,6 +119,9 @@
   bool compatible_with(std::size_t type_number) const {
     return type_number < compatible_types.size() && compatible_types[type_number];
   }
+  // Lets the job use all machines again if its tasks have failed on so many that the job is at fault rather
+  // than the machines.
+  void allow_failed_machines_if_at_fault();
   // Returns whether the task's assignment is durable, so that its start command may be sent.
   bool assignment_durable(TaskIndex index) const;
   // Returns whether the task's completion is durable, so that its worker may discard the result.
--- a/src/core/scheduling_constraints.cpp
+++ b/src/core/scheduling_constraints.cpp
@@ -72,26 +72,6 @@
   return job.compatible_with(type) && (!spot || spec.spot_allowed) && (!spec.zone || *spec.zone == zone);
 }
 
-ZoneCapacity SchedulingConstraints::zone_capacity(const Job& job) const {
-  if (!job.spec.same_zone && !job.spec.spread) return std::nullopt;
-  // A task on a machine whose zone is not known yet counts in every zone.
-  const std::size_t in_unknown_zone = job.assignments_in_zone("");
-  const std::size_t max_per_zone = (static_cast<std::size_t>(job.spec.task_count) + 1) / 2;
-  std::map<std::string, std::size_t> zones;
-  for (const auto& zone : state_.zones()) {
-    std::size_t capacity = std::numeric_limits<std::size_t>::max();
-    const std::size_t in_zone = job.assignments_in_zone(zone);
-    const std::size_t counted = in_zone + in_unknown_zone;
-    if (job.spec.spread) capacity = max_per_zone > counted ? max_per_zone - counted : 0;
-    // After a failover, assignments may be in several zones, since those of tasks that have ended are adopted
-    // too. Then no zone is open until only one is left.
-    const bool any_in_other_zone = in_zone < job.assignments.size();
-    if (job.spec.same_zone && any_in_other_zone) capacity = 0;
-    zones.emplace(zone, capacity);
-  }
-  return zones;
-}
-
 std::size_t SchedulingConstraints::quota_headroom(const Job& job) const {
   constexpr std::size_t kUnlimited = std::numeric_limits<std::uint32_t>::max();
   const Team* team = state_.config().find_team(job.spec.team);
@@ -111,10 +91,4 @@
   return constants::kHeartbeatRoundFactor * state_.config().heartbeat_interval_s;
 }
 
-bool has_zone_capacity(const ZoneCapacity& zones, const std::string& zone) {
-  if (!zones) return true;
-  const auto found = zones->find(zone);
-  return found != zones->end() && found->second > 0;
-}
-
 }  // namespace dockdyke::core
--- a/src/core/scheduling_constraints.hpp
+++ b/src/core/scheduling_constraints.hpp
@@ -2,8 +2,6 @@
 #pragma once
 
 #include <cstddef>
-#include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,13 +10,11 @@
 #include "core/machine.hpp"
 #include "core/task_fit.hpp"
 #include "core/time.hpp"
+#include "core/zone_constraints.hpp"
 #include "wire/messages.hpp"
 
 namespace dockdyke::core {
 
-// Number of further tasks of a job that may start in each zone, or std::nullopt for no limit in any zone.
-using ZoneCapacity = std::optional<std::map<std::string, std::size_t>>;
-
 // Why a machine gets no start commands.
 enum class StartObstacle {
   none,
@@ -61,7 +57,7 @@
     return allowed_on(job, machine.type_number, machine.zone, machine.spot);
   }
   // Applies the job's `same_zone` and `spread` constraints to the zones of its assigned tasks.
-  ZoneCapacity zone_capacity(const Job& job) const;
+  ZoneCapacity zone_capacity(const Job& job) const { return core::zone_capacity(job, state_.zones()); }
   // Returns how many further tasks of the job its team's quota allows now.
   std::size_t quota_headroom(const Job& job) const;
   // Returns the time (s) within which every responsive machine sends a heartbeat.
@@ -71,7 +67,4 @@
   const ClusterState& state_;
 };
 
-// Returns whether a further task may start in the zone.
-bool has_zone_capacity(const ZoneCapacity& zones, const std::string& zone);
-
 }  // namespace dockdyke::core
--- a/src/core/state_queries.cpp
+++ b/src/core/state_queries.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/zone_constraints.hpp"
+
 namespace dockdyke::core {
 
 std::optional<JobProgress> job_progress(const ClusterState& state, const JobId& id) {
@@ -44,22 +46,10 @@
   return counts;
 }
 
-namespace {
-
-bool satisfies_zone_constraint(const Job& job) {
-  const auto& zones = job.assignments_by_zone;
-  if (job.spec.same_zone && zones.size() > 1) return false;
-  const std::size_t max_per_zone = (std::size_t{job.spec.task_count} + 1) / 2;
-  return !job.spec.spread || std::all_of(zones.begin(), zones.end(),
-                                         [&](const auto& each) { return each.second <= max_per_zone; });
-}
-
-}  // namespace
-
 ZoneConflictSummary zone_conflict_summary(const ClusterState& state) {
   ZoneConflictSummary summary;
   for (const auto& [id, job] : state.jobs()) {
-    if (!job.unfinished() || satisfies_zone_constraint(job)) continue;
+    if (!job.unfinished() || satisfies_zone_constraints(job)) continue;
     if (summary.jobs++ > 0) continue;
     summary.job = id;
     summary.assignments_by_zone = job.assignments_by_zone;
--- a/src/core/task_placer.cpp
+++ b/src/core/task_placer.cpp
@@ -121,9 +121,7 @@
 std::size_t TaskPlacer::assign_job(const QueuedJob& queued, const std::vector<Machine*>& machines,
                                    bool allow_image_fetch, std::size_t limit, Time now) {
   Job& job = *queued.job;
-  // After failures on this many machines the job is at fault rather than the machines, so it may use them
-  // again.
-  if (job.failed_machines.size() >= constants::kSuspectJobMachineThreshold) job.failed_machines.clear();
+  job.allow_failed_machines_if_at_fault();
   // A starving job gets one task; after that it is no longer starving and keeps its normal queue position.
   if (queued.starving) limit = std::min<std::size_t>(1, limit);
   limit = std::min(limit, constraints_.quota_headroom(job));
--- a/tests/support/invariants.cpp
+++ b/tests/support/invariants.cpp
@@ -3,6 +3,15 @@
 
 namespace dockdyke::testing {
 
+namespace {
+
+// Returns how many of these tasks of a spread job may be in one zone.
+std::size_t half_rounded_up(std::size_t tasks) {
+  return (tasks + 1) / 2;
+}
+
+}  // namespace
+
 std::string Simulation::describe_task_locations(const std::string& id) const {
   std::string out;
   for (const auto& worker : workers_)
@@ -45,8 +54,7 @@
     ADD_FAILURE() << "job may not use spot machines: " << wire::to_string(task.ref);
   if (job.spec.zone && *job.spec.zone != worker.zone) ADD_FAILURE() << "task started outside its zone";
   if (job.spec.same_zone && zones.size() > 1) ADD_FAILURE() << "same-zone job started in two zones";
-  const std::size_t max_tasks_per_zone = (static_cast<std::size_t>(job.spec.task_count) + 1) / 2;
-  if (job.spec.spread && zones[worker.zone] > max_tasks_per_zone)
+  if (job.spec.spread && zones[worker.zone] > half_rounded_up(job.spec.task_count))
     ADD_FAILURE() << "more than half of a spread job's tasks in one zone";
 }
 
@@ -139,7 +147,7 @@
       return false;
     const auto tasks_in_zone = zones.find(worker->zone);
     if (spec.spread && tasks_in_zone != zones.end() &&
-        tasks_in_zone->second >= (std::size_t{spec.task_count} + 1) / 2)
+        tasks_in_zone->second >= half_rounded_up(spec.task_count))
       return false;
     wire::Resources free = cloud_type_.size;
     for (const auto& task : worker->tasks)
@@ -162,8 +170,7 @@
       if (task.state != wire::TaskState::exited) free -= jobs_.at(task.ref.job.value).spec.task_resources;
     fitting_tasks[worker->zone] += core::tasks_fitting(spec.task_resources, free);
   }
-  const std::size_t max_tasks_per_zone =
-      spec.spread ? (std::size_t{spec.task_count} + 1) / 2 : spec.task_count;
+  const std::size_t max_tasks_per_zone = spec.spread ? half_rounded_up(spec.task_count) : spec.task_count;
   std::size_t in_all_zones = 0;
   std::size_t in_best_zone = 0;
   for (const auto& [zone, count] : fitting_tasks) {
